Set down the workspace, the design and the core types

Cause: the repository is empty; everything later builds on the folders, the core types and the message flow. The lock is committed in its exported form, since uv's own form names registry hosts.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Every target sets up what it needs; a fresh machine needs Python 3.11, pip and make only.
+PYTHON := python3
+BIN := .venv/bin
+QUICK ?= 0
+PACKAGES := core configuration entry operator standins bench
+
+.PHONY: demo test lint bench format lock messages
+
+.venv/.ready: requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check uv==0.13.9
+	$(BIN)/uv pip install --quiet --python $(BIN)/python -r requirements.lock
+	touch $@
+
+demo: .venv/.ready
+	$(BIN)/python -m fuchsiaspread_standins.demo
+
+test: .venv/.ready
+	$(BIN)/python tools/run_tests.py $(PACKAGES)
+
+lint: .venv/.ready
+	$(BIN)/black --quiet --check packages tools
+	$(BIN)/ruff check --quiet packages tools
+	$(BIN)/lint-imports --no-cache
+
+bench: .venv/.ready
+	QUICK=$(QUICK) $(BIN)/python -m fuchsiaspread_bench
+
+format: .venv/.ready
+	$(BIN)/ruff check --quiet --fix packages tools
+	$(BIN)/black --quiet packages tools
+
+# The exported form of the lock names each package with its hashes and no registry host.
+lock:
+	$(BIN)/uv lock --quiet
+	$(BIN)/uv export --quiet --all-packages --format requirements-txt --no-header \
+		--no-annotate --output-file requirements.lock
+
+# Generates the code of the messages between entry VMs; the result is committed.
+messages: .venv/.ready
+	cd packages/entry/src && ../../../$(BIN)/python -m grpc_tools.protoc -I . \
+		--python_out=. --pyi_out=. --grpclib_python_out=. \
+		--plugin=protoc-gen-grpclib_python=../../../$(BIN)/protoc-gen-grpclib_python \
+		fuchsiaspread_entry/messages/peer.proto
--- /dev/null
+++ b/packages/bench/src/fuchsiaspread_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/effects.py
@@ -0,0 +1,90 @@
+"""Effects that the entry core returns for the shell to carry out."""
+
+from dataclasses import dataclass
+
+from .control import ControlMessage
+from .flow_table import FlowRecord
+from .identifiers import Endpoint, EntryName, FlowKey
+from .notices import Notice
+from .relay import Relay
+
+
+@dataclass(frozen=True, slots=True)
+class SendToTarget:
+    """Send a caller's packet to the tunnel end of a target."""
+
+    tunnel: Endpoint
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SendToCaller:
+    """Send a target's packet to its caller through the fabric."""
+
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Hand a packet to another entry VM."""
+
+    peer: EntryName
+    relay: Relay
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseOpen:
+    """Answer an open with "not run"."""
+
+    flow: FlowKey
+    caller_token: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendControl:
+    """Send a control message to another entry VM."""
+
+    peer: EntryName
+    message: ControlMessage
+
+
+@dataclass(frozen=True, slots=True)
+class FetchParts:
+    """Fetch the configuration parts of another entry VM; the answer is `PartsReceived`."""
+
+    peer: EntryName
+
+
+@dataclass(frozen=True, slots=True)
+class SendRecords:
+    """Hand flow records to another entry VM; `is_last` ends the transfer."""
+
+    peer: EntryName
+    records: tuple[FlowRecord, ...]
+    is_last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Notify:
+    """Report something to logs and counters."""
+
+    notice: Notice
+
+
+@dataclass(frozen=True, slots=True)
+class StopNow:
+    """Tell the shell that the graceful stop is complete."""
+
+
+Effect = (
+    SendToTarget
+    | SendToCaller
+    | SendToPeer
+    | RefuseOpen
+    | SendControl
+    | FetchParts
+    | SendRecords
+    | Notify
+    | StopNow
+)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/members.py
@@ -0,0 +1,27 @@
+"""Entry VMs as members of a fleet."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+from .identifiers import Endpoint, EntryName, ZoneName
+
+
+class MemberState(IntEnum):
+    """Name what an entry VM believes of another; a higher value wins at equal incarnation."""
+
+    LIVE = 0
+    SUSPECTED = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Describe an entry VM; `peer` takes datagrams, `control` takes gRPC calls."""
+
+    name: EntryName
+    zone: ZoneName
+    peer: Endpoint
+    control: Endpoint
+    incarnation: int = 0
+    state: MemberState = MemberState.LIVE
