Admit opens by exact slots, lanes, deadlines and observed health

Cause: the placeholder chose a free target and refused all else; it had no queue, no retry, no notice of silent targets and freed cancelled slots at once.

Change: ShardAdmission counts slots and connections exactly, keeps one bounded queue in lanes, refuses opens that would miss their deadline, retries opens within a budget and never twice on a target, holds the slots of cancelled requests, and ejects targets by what was observed. fail_open and tick may return Decline for an open that may spill when its shard has no other target.

Conclusion: usable by the entry core; constants are still unmeasured.

--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/admitted_flows.py
@@ -0,0 +1,213 @@
+"""The flows that count at a target, each in exactly one stage."""
+
+from dataclasses import dataclass
+
+from .configuration import AddressKind, RequestKind, StreamKind
+from .decisions import OpenRequest
+from .held_slots import HeldSlot
+from .identifiers import FlowKey
+from .lanes import Lane
+from .open_queue import PendingOpen
+from .target_load import TargetLoad
+
+# A SYN-ACK comes from the target's kernel within a round trip of a few ms; a quarter of the
+# time that the caller allows leaves room for two more targets.
+OPEN_ANSWER_MS = 250
+OPEN_ANSWER_PARTS = 4
+# How many deadlines the slot of a cancelled request stays busy without news of the target.
+HOLD_DEADLINES = 5
+
+
+def time_allowed_ms(kind: AddressKind) -> int:
+    """Return the time from the open to the answer that the address allows."""
+    match kind:
+        case RequestKind(deadline_ms=deadline_ms):
+            return deadline_ms
+        case StreamKind(open_deadline_ms=open_deadline_ms):
+            return open_deadline_ms
+
+
+@dataclass(slots=True)
+class Opening:
+    """Hold an open that a target was given and has not answered."""
+
+    pending: PendingOpen
+    load: TargetLoad
+    admitted_ms: int
+    answer_due_ms: int
+
+    @property
+    def caller_token(self) -> int:
+        """Return the caller token of the open."""
+        return self.pending.request.caller_token
+
+
+@dataclass(slots=True)
+class Running:
+    """Hold a request that a target accepted.
+
+    `is_long` counts it among the long ones; `is_learnt` tells that the caller network's history
+    holds it already; the age of an adopted request is unknown.
+    """
+
+    load: TargetLoad
+    caller_token: int
+    admitted_ms: int
+    due_ms: int
+    hold_ms: int
+    is_long: bool
+    is_learnt: bool = False
+    is_hung: bool = False
+    is_adopted: bool = False
+
+
+class AdmittedFlows:
+    """Keep the admitted flows and, with each change, the counts of their targets.
+
+    An accepted stream costs one dictionary entry without an object of its own, since there
+    are hundreds of thousands; there are never more requests than slots.
+    """
+
+    def __init__(self) -> None:
+        self.openings: dict[FlowKey, Opening] = {}
+        self.running: dict[FlowKey, Running] = {}
+        self.streams: dict[FlowKey, TargetLoad] = {}
+        self.cancelled: dict[FlowKey, TargetLoad] = {}
+
+    def __contains__(self, flow: FlowKey) -> bool:
+        return (
+            flow in self.streams
+            or flow in self.running
+            or flow in self.openings
+            or flow in self.cancelled
+        )
+
+    def open(self, now_ms: int, pending: PendingOpen, load: TargetLoad) -> None:
+        """Count an open that is given to a target."""
+        flow, kind = pending.request.flow, pending.request.kind
+        assert flow not in self
+        answer_ms = min(OPEN_ANSWER_MS, time_allowed_ms(kind) // OPEN_ANSWER_PARTS)
+        self.openings[flow] = Opening(pending, load, now_ms, now_ms + max(1, answer_ms))
+        if pending.lane is Lane.STREAM:
+            load.connections += 1
+            load.opening_connections += 1
+        else:
+            load.busy_slots += 1
+            load.opening_slots += 1
+            load.long_slots += pending.lane is Lane.LONG
+
+    def accept(self, flow: FlowKey) -> Opening | None:
+        """Move an open to the accepted flows; return it, or None."""
+        opening = self.openings.pop(flow, None)
+        if opening is None:
+            return None
+        request = opening.pending.request
+        match request.kind:
+            case StreamKind():
+                opening.load.opening_connections -= 1
+                self.streams[flow] = opening.load
+            case RequestKind(deadline_ms=deadline_ms):
+                opening.load.opening_slots -= 1
+                self.running[flow] = Running(
+                    opening.load,
+                    request.caller_token,
+                    opening.admitted_ms,
+                    opening.pending.offered_ms + deadline_ms,
+                    HOLD_DEADLINES * deadline_ms,
+                    opening.pending.lane is Lane.LONG,
+                )
+        return opening
+
+    def drop_opening(self, flow: FlowKey) -> Opening | None:
+        """Forget an open without an accept; its slot is free, since no request was sent."""
+        opening = self.openings.pop(flow, None)
+        if opening is None:
+            return None
+        load = opening.load
+        if opening.pending.lane is Lane.STREAM:
+            load.opening_connections -= 1
+            load.connections -= 1
+        else:
+            load.opening_slots -= 1
+            self._free_slot(load, opening.pending.lane is Lane.LONG)
+        return opening
+
+    def drop_stream(self, flow: FlowKey) -> TargetLoad | None:
+        """Forget an accepted stream; return its target, or None."""
+        load = self.streams.pop(flow, None)
+        if load is not None:
+            load.connections -= 1
+        return load
+
+    def end_running(self, flow: FlowKey) -> Running | None:
+        """Free the slot of a request that the target ended; return the request, or None."""
+        running = self.running.pop(flow, None)
+        if running is not None:
+            self._free_slot(running.load, running.is_long)
+        return running
+
+    def mark_long(self, running: Running) -> None:
+        """Count a running request among the long ones."""
+        running.load.long_slots += not running.is_long
+        running.is_long = True
+
+    def hold(self, now_ms: int, flow: FlowKey) -> Running | None:
+        """Keep the slot of a cancelled request busy; return the request, or None."""
+        running = self.running.pop(flow, None)
+        if running is not None:
+            running.load.held.add(HeldSlot(flow, running.is_long, now_ms + running.hold_ms))
+            self.cancelled[flow] = running.load
+        return running
+
+    def end_held(self, flow: FlowKey) -> bool:
+        """Free the slot of a cancelled request that the target ended."""
+        load = self.cancelled.pop(flow, None)
+        slot = load.held.take(flow) if load is not None else None
+        if load is None or slot is None:
+            return False
+        self._free_slot(load, slot.is_long)
+        return True
+
+    def detach_held(self, flow: FlowKey) -> None:
+        """Give the key of a cancelled request free for a new open; its slot stays busy."""
+        load = self.cancelled.pop(flow, None)
+        if load is not None:
+            load.held.detach(flow)
+
+    def free_held(self, load: TargetLoad, slots: list[HeldSlot]) -> None:
+        """Free slots of cancelled requests that a hint or the time limit ended."""
+        for slot in slots:
+            if slot.flow is not None:
+                del self.cancelled[slot.flow]
+            self._free_slot(load, slot.is_long)
+
+    def adopt_accepted(
+        self, now_ms: int, request: OpenRequest, load: TargetLoad, is_cancelled: bool
+    ) -> None:
+        """Count an accepted flow of another manager; its age and so its length are unknown."""
+        flow = request.flow
+        assert flow not in self
+        match request.kind:
+            case StreamKind():
+                if not is_cancelled:
+                    self.streams[flow] = load
+                    load.connections += 1
+            case RequestKind(deadline_ms=deadline_ms):
+                load.busy_slots += 1
+                self.running[flow] = Running(
+                    load,
+                    request.caller_token,
+                    now_ms,
+                    now_ms + deadline_ms,
+                    HOLD_DEADLINES * deadline_ms,
+                    is_long=False,
+                    is_learnt=True,
+                    is_adopted=True,
+                )
+                if is_cancelled:
+                    self.hold(now_ms, flow)
+
+    def _free_slot(self, load: TargetLoad, is_long: bool) -> None:
+        load.busy_slots -= 1
+        load.long_slots -= is_long
+        assert load.busy_slots >= 0 and load.long_slots >= 0
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/target_load.py
@@ -0,0 +1,127 @@
+"""What the manager of a shard counts at one target."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from math import ceil
+
+from .configuration import Target, TargetState
+from .held_slots import HeldSlots
+from .identifiers import TargetName
+from .target_health import TargetHealth
+
+SLOW_START_MS = 10_000
+SLOW_START_FIRST_SHARE = 0.1
+# A cold target's accept queue and caches fill under a burst; a warm one has no such limit.
+SLOW_START_OPENINGS = 4
+# A hint older than two reporting periods says nothing about the present.
+HINT_VALID_MS = 2_000
+# A target that says it sheds load is chosen as if it had half of its weight.
+SHEDDING_SHARE = 0.5
+
+
+class TargetCondition(StrEnum):
+    """Name the condition of a target in reports."""
+
+    IN_USE = "in_use"
+    SLOW_START = "slow_start"
+    SUSPECT = "suspect"
+    EJECTED = "ejected"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSummary:
+    """Tell what counts at a target and whether it takes new work."""
+
+    name: TargetName
+    condition: TargetCondition
+    busy_slots: int
+    connections: int
+
+
+class TargetLoad:
+    """Count the slots and connections of one target, exactly, from its manager's own events."""
+
+    def __init__(self, target: Target, started_ms: int | None) -> None:
+        self.target = target
+        self.is_configured = True
+        self.busy_slots = 0
+        self.long_slots = 0
+        self.connections = 0
+        self.opening_slots = 0
+        self.opening_connections = 0
+        self.last_answer_ms = -1
+        self.health = TargetHealth()
+        self.held = HeldSlots()
+        self._started_ms = started_ms
+        self._shedding_until_ms = 0
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the configuration lets the target take new work."""
+        return self.is_configured and self.target.state is TargetState.ACTIVE
+
+    @property
+    def is_unused(self) -> bool:
+        """Return whether nothing counts at the target."""
+        return self.busy_slots == 0 and self.connections == 0
+
+    def is_in_use(self, now_ms: int) -> bool:
+        """Return whether the target takes new work, now or after a pause."""
+        return self.is_active and not self.health.is_ejected(now_ms)
+
+    def begin_slow_start(self, now_ms: int) -> None:
+        """Raise the target's share from a small one over the slow start's time."""
+        self._started_ms = now_ms
+
+    def note_shedding(self, now_ms: int, is_shedding: bool) -> None:
+        """Take the target's own statement that it sheds load."""
+        self._shedding_until_ms = now_ms + HINT_VALID_MS if is_shedding else 0
+
+    def slot_limit(self, now_ms: int) -> int:
+        """Return how many slots may be busy, fewer during slow start."""
+        return ceil(self.target.slots * self._share(now_ms))
+
+    def has_room(self, now_ms: int, is_request: bool) -> bool:
+        """Return whether the target can take one more open now."""
+        if not self.is_active or not self.health.may_open(now_ms):
+            return False
+        openings = self.opening_slots + self.opening_connections
+        if self._share(now_ms) < 1.0 and openings >= SLOW_START_OPENINGS:
+            return False
+        if is_request:
+            return self.busy_slots < self.slot_limit(now_ms)
+        return self.connections < self.target.connections
+
+    def relative_load(self, now_ms: int, is_request: bool) -> float:
+        """Return the load with one more open, relative to weight and slow-start share."""
+        weight = max(self.target.weight, 1) * self._share(now_ms)
+        if now_ms < self._shedding_until_ms:
+            weight *= SHEDDING_SHARE
+        return ((self.busy_slots if is_request else self.connections) + 1) / weight
+
+    def summary(self, now_ms: int) -> TargetSummary:
+        """Return the counts and the condition for reports."""
+        condition = self._condition(now_ms)
+        return TargetSummary(self.target.name, condition, self.busy_slots, self.connections)
+
+    def _condition(self, now_ms: int) -> TargetCondition:
+        if not self.is_configured:
+            return TargetCondition.REMOVED
+        if not self.is_active:
+            return TargetCondition.DRAINING
+        if self.health.is_ejected(now_ms):
+            return TargetCondition.EJECTED
+        if self.health.is_suspect:
+            return TargetCondition.SUSPECT
+        return TargetCondition.IN_USE if self._share(now_ms) >= 1.0 else TargetCondition.SLOW_START
+
+    def _share(self, now_ms: int) -> float:
+        if self._started_ms is None:
+            return 1.0
+        age_ms = now_ms - self._started_ms
+        if age_ms >= SLOW_START_MS:
+            self._started_ms = None
+            return 1.0
+        return max(SLOW_START_FIRST_SHARE, age_ms / SLOW_START_MS)
--- /dev/null
+++ b/packages/core/tests/core/test_admission_faults.py
@@ -0,0 +1,186 @@
+"""Guard admission against targets that are dead, lie, hang or reset."""
+
+import unittest
+
+from fuchsiaspread_core.admission import (
+    Admit,
+    Decline,
+    Enqueue,
+    Inform,
+    OpenFailure,
+    Refuse,
+    ShardAdmission,
+)
+from fuchsiaspread_core.notices import FlowEnd, RefusalReason
+from fuchsiaspread_core.target_health import FIRST_EJECTION_MS
+from fuchsiaspread_core.target_load import TargetCondition
+
+from .admission_case import AdmissionCase, flow
+
+
+class DeadTargetTest(AdmissionCase):
+    def test_silent_target_is_replaced_and_never_tried_again(self) -> None:
+        """Guards against an open that waits for a target that answers nothing."""
+        admission = self.shard(2)
+        first = self.admitted(admission, 0, flow(0))
+        self.assertEqual(admission.tick(200), [])
+        second = self.only(admission.tick(260))
+        self.assertNotEqual(second.target, first)
+        self.assertEqual(
+            self.only(admission.tick(520)), Refuse(flow(0), RefusalReason.RETRIES_USED)
+        )
+        self.assertFalse(admission.is_managed(flow(0)))
+
+    def test_shard_passes_on_an_open_that_its_only_target_failed(self) -> None:
+        """Guards against refusing an open that another zone's shard could serve."""
+        admission = self.shard(1)
+        self.admitted(admission, 0, flow(0), may_spill=True)
+        self.assertEqual(self.only(admission.tick(260)), Decline(flow(0)))
+        self.assertFalse(admission.is_managed(flow(0)))
+
+    def test_dead_target_with_the_only_free_slot_gets_no_retries(self) -> None:
+        """Guards against a black hole: the dead target is idle, so every open goes to it."""
+        admission = self.shard(3)
+        dead = self.admitted(admission, 0, flow(0))
+        admission.fail_open(0, flow(0), OpenFailure.RESET)
+        admission.accept(0, flow(0))
+        self.fill_all_but(admission, dead)
+        given_to_dead, refused = 0, 0
+        for now_ms in range(10, 1000, 10):
+            decisions = [self.offer(admission, now_ms, flow(now_ms)), *admission.tick(now_ms)]
+            while decisions:
+                decision = decisions.pop()
+                refused += isinstance(decision, Refuse)
+                if isinstance(decision, Admit):
+                    self.assertEqual(decision.target, dead)
+                    given_to_dead += 1
+                    decisions += admission.fail_open(now_ms, decision.flow, OpenFailure.RESET)
+        self.assertLessEqual(given_to_dead, 3)
+        self.assertEqual(refused, 0)
+        self.assertEqual(self.conditions(admission, 100)[dead], TargetCondition.EJECTED)
+
+    def fill_all_but(self, admission: ShardAdmission, dead: str) -> None:
+        """Put an accepted request into each slot of the other targets."""
+        unwanted = []
+        for number in range(50_000, 50_020):
+            key = flow(number)
+            decision = self.offer(admission, 1, key)
+            if isinstance(decision, Admit) and decision.target != dead:
+                admission.accept(1, key)
+            else:
+                unwanted.append(key)
+        for key in reversed(unwanted):
+            admission.cancel(1, key)
+        others = {name: busy for name, busy in self.busy(admission).items() if name != dead}
+        self.assertEqual(set(others.values()), {3})
+
+    def conditions(self, admission: ShardAdmission, now_ms: int) -> dict[str, TargetCondition]:
+        """Return the condition of each target."""
+        return {s.name: s.condition for s in admission.summaries(now_ms)}
+
+    def test_retry_budget_bounds_the_retries_when_every_target_fails(self) -> None:
+        """Guards against retries that multiply the load on a failing shard."""
+        admission = self.shard(4, slots=100)
+        retries = 0
+        for number in range(200):
+            decision = self.offer(admission, number, flow(number))
+            while isinstance(decision, Admit):
+                decisions = admission.fail_open(number, flow(number), OpenFailure.RESET)
+                mine = [d for d in decisions if getattr(d, "flow", None) == flow(number)]
+                decision = mine[0]
+                retries += isinstance(decision, Admit)
+            admission.cancel(number, flow(number))
+        self.assertLessEqual(retries, 10 + 200 * 0.2)
+
+    def test_ejection_grows_and_spares_half_of_the_targets(self) -> None:
+        """Guards against ejecting every target, and against retrying a dead one too often."""
+        admission = self.shard(3)
+        informed = []
+        for now_ms in range(0, 20_000, 10):
+            decision = self.offer(admission, now_ms, flow(now_ms))
+            if isinstance(decision, Admit):
+                informed += admission.fail_open(now_ms, flow(now_ms), OpenFailure.RESET)
+            admission.cancel(now_ms, flow(now_ms))
+            ejected = list(self.conditions(admission, now_ms).values())
+            self.assertLessEqual(ejected.count(TargetCondition.EJECTED), 1)
+        notices = [d.notice for d in informed if isinstance(d, Inform)]
+        times = [notice.ejected_for_ms for notice in notices]
+        self.assertEqual(times[0], FIRST_EJECTION_MS)
+        self.assertGreater(max(times), 2 * FIRST_EJECTION_MS)
+
+    def test_recovered_target_returns_through_slow_start(self) -> None:
+        """Guards against a target that stays out, or gets its full load on its first answer."""
+        admission = self.shard(2)
+        dead = self.admitted(admission, 0, flow(0))
+        admission.fail_open(0, flow(0), OpenFailure.RESET)
+        for number in range(1, 60):
+            key = flow(number)
+            decision = self.offer(admission, number * 10, key)
+            if isinstance(decision, Admit) and decision.target == dead:
+                admission.fail_open(number * 10, key, OpenFailure.RESET)
+            admission.cancel(number * 10, key)
+        self.assertEqual(self.conditions(admission, 600)[dead], TargetCondition.EJECTED)
+        for number in range(100, 110):
+            key = flow(number)
+            self.offer(admission, 3000, key)
+            admission.accept(3000, key)
+        self.assertEqual(self.conditions(admission, 3000)[dead], TargetCondition.SLOW_START)
+
+
+class LiarTest(AdmissionCase):
+    def test_idle_claims_do_not_add_slots(self) -> None:
+        """Guards against a target that always reports itself idle and is given more than fits."""
+        admission = self.shard(1)
+        for number in range(3):
+            self.admitted(admission, 0, flow(number))
+            admission.accept(0, flow(number))
+        for now_ms in range(0, 200, 10):
+            admission.report_load(now_ms, "desk-1", 0, False)
+        self.assertEqual(self.offer(admission, 200, flow(9)), Enqueue(flow(9)))
+
+    def test_shedding_claims_do_not_take_a_target_out(self) -> None:
+        """Guards against a shard that refuses because its targets claim to shed load."""
+        admission = self.shard(1)
+        admission.report_load(0, "desk-1", 99, True)
+        self.admitted(admission, 0, flow(0))
+
+    def test_false_free_claim_is_not_believed_again(self) -> None:
+        """Guards against a target whose reports free slots that it still uses."""
+        admission = self.shard(1, slots=1)
+        for round_ms in (0, 1000):
+            key = flow(round_ms)
+            self.admitted(admission, round_ms, key)
+            admission.accept(round_ms, key)
+            admission.cancel(round_ms, key)
+            admission.report_load(round_ms + 10, "desk-1", 0, False)
+            admission.report_load(round_ms + 20, "desk-1", 0, False)
+            self.assertEqual(self.busy(admission), {"desk-1": 0 if round_ms == 0 else 1})
+            admission.release(round_ms + 600, key, FlowEnd.RESET_BY_TARGET)
+
+    def test_target_that_accepts_and_resets_is_ejected(self) -> None:
+        """Guards against a target that is always idle because it fails everything at once."""
+        admission = self.shard(3)
+        given: list[str] = []
+        for now_ms in range(0, 900, 10):
+            key = flow(now_ms)
+            name = self.admitted(admission, now_ms, key)
+            given.append(name)
+            admission.accept(now_ms, key)
+            end = FlowEnd.RESET_BY_TARGET if name == "desk-1" else FlowEnd.ANSWERED
+            admission.release(now_ms + 1, key, end)
+        self.assertLessEqual(given.count("desk-1"), 3)
+
+    def test_hanging_target_is_ejected(self) -> None:
+        """Guards against a target whose kernel accepts while its server answers nothing."""
+        admission = self.shard(2)
+        names = {flow(number): self.admitted(admission, 0, flow(number)) for number in range(6)}
+        for key in names:
+            admission.accept(1, key)
+        for key in (key for key, name in names.items() if name == "desk-2"):
+            admission.release(100, key, FlowEnd.ANSWERED)
+        notices = [d.notice for d in admission.tick(2000) if isinstance(d, Inform)]
+        self.assertEqual([(n.target, n.cause) for n in notices], [("desk-1", "hang")])
+
+
+if __name__ == "__main__":
+    unittest.main()
