--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/caller_path.py
@@ -0,0 +1,150 @@
+"""The path of a caller's packets after the open."""
+
+from .effects import Effect, SendToPeer
+from .entry_state import EntryState, drop
+from .events import CallerData, CallerReset
+from .flow_table import FORWARDED_PHASES, FlowRecord, Phase, Signal
+from .identifiers import EntryName, FlowKey
+from .notices import DropReason
+from .open_path import OpenPath
+from .recovery import Recovery
+from .relay import (
+    MAX_RELAY_HOPS,
+    RelayAsk,
+    RelayReturn,
+    RelayToManager,
+    RelayUnknown,
+)
+
+TOKEN_RANGE = 2**32
+# A target sends less than this before a copy of the record is used for the first time.
+CONFIRM_WINDOW = 2**28
+# With the way to the home manager and back this stays within the hop limit.
+MAX_ASKED = 5
+
+
+class CallerPath:
+    """Send packets of known flows to their target and find the target of unknown ones."""
+
+    def __init__(self, state: EntryState, opens: OpenPath, recovery: Recovery) -> None:
+        self._state = state
+        self._opens = opens
+        self._recovery = recovery
+
+    def receive_data(self, now_ms: int, event: CallerData) -> list[Effect]:
+        """Take a caller's packet from the fabric or from another entry VM."""
+        match event.relay:
+            case None:
+                hops = 0
+            case RelayUnknown(hops):
+                pass
+            case RelayAsk() as relay:
+                return self._answer(event, relay)
+            case RelayReturn(record):
+                return self._learn(now_ms, event, record)
+            case _:
+                return drop(DropReason.UNKNOWN_FLOW)
+        table = self._state.table
+        row = table.row(event.flow)
+        if row >= 0 and self._is_forwarded(row, event.acknowledges):
+            table.seen_s[row] = now_ms // 1000
+            return self._state.to_target(table.target_name(row), event.payload)
+        return self._to_home(now_ms, event, hops)
+
+    def receive_reset(self, now_ms: int, event: CallerReset) -> list[Effect]:
+        """Take a caller's reset; the manager hears of it, since the slot stays busy."""
+        record = self._state.table.record(event.flow)
+        hops = event.relay.hops if event.relay is not None else 0
+        if record is None or record.phase is Phase.SPILLED:
+            return self._reset_to_home(event, hops)
+        route = self._state.targets.get(record.target)
+        if route is not None and not self._state.is_manager(route.shard):
+            manager = self._state.routes.manager(route.shard)
+            if manager is not None and hops < MAX_RELAY_HOPS:
+                return [SendToPeer(manager, RelayToManager(hops + 1), event.payload)]
+        return self._cancel(now_ms, record, event.payload)
+
+    def _is_forwarded(self, row: int, acknowledges: int) -> bool:
+        table = self._state.table
+        phase = table.phases[row]
+        if phase == Phase.ESTABLISHED:
+            return True
+        if phase == Phase.ACCEPTED:
+            # The caller's handshake names the target that it is bound to; another manager may
+            # have admitted the same open, and then this target must not get the packet.
+            ahead = (acknowledges - table.target_tokens[row] - 1) % TOKEN_RANGE
+            if ahead >= CONFIRM_WINDOW:
+                return False
+            table.phases[row] = Phase.ESTABLISHED
+            return True
+        return phase in FORWARDED_PHASES
+
+    def _to_home(self, now_ms: int, event: CallerData, hops: int) -> list[Effect]:
+        home = self._state.routes.home_manager(event.flow)
+        if home is None:
+            return drop(DropReason.UNKNOWN_SERVICE)
+        if home != self._state.me:
+            if hops >= MAX_RELAY_HOPS:
+                return drop(DropReason.HOP_LIMIT)
+            return [SendToPeer(home, RelayUnknown(hops + 1), event.payload)]
+        asked = self._asked(event.flow)
+        if not asked:
+            return self._recovery.send(now_ms, event.flow, event.payload)
+        relay = RelayAsk(self._state.me, asked[1:], hops + 1)
+        return [SendToPeer(asked[0], relay, event.payload)]
+
+    def _asked(self, flow: FlowKey) -> tuple[EntryName, ...]:
+        """Return the entry VMs that may have the record: other shards first, then earlier ones."""
+        routes = self._state.routes
+        address = routes.address(flow)
+        if address is None:
+            return ()
+        order = routes.shard_order(flow, address.service)
+        names = [manager for shard in order[1:] if (manager := routes.manager(shard))]
+        names += [name for shard in order[:1] for name in routes.ranks(shard)]
+        for earlier in reversed(self._state.retained):
+            earlier_address = earlier.address(flow)
+            if earlier_address is None:
+                continue
+            for shard in earlier.shard_order(flow, earlier_address.service)[:1]:
+                names += earlier.ranks(shard)
+        others = [name for name in dict.fromkeys(names) if name != self._state.me]
+        return tuple(name for name in others if name in self._state.reachable)[:MAX_ASKED]
+
+    def _answer(self, event: CallerData, relay: RelayAsk) -> list[Effect]:
+        row = self._state.table.row(event.flow)
+        is_known = row >= 0 and self._is_forwarded(row, event.acknowledges)
+        if not is_known and relay.next_asked and relay.hops < MAX_RELAY_HOPS - 1:
+            onward = RelayAsk(relay.home, relay.next_asked[1:], relay.hops + 1)
+            return [SendToPeer(relay.next_asked[0], onward, event.payload)]
+        record = self._state.table.record(event.flow) if is_known else None
+        return [SendToPeer(relay.home, RelayReturn(record, relay.hops + 1), event.payload)]
+
+    def _learn(self, now_ms: int, event: CallerData, record: FlowRecord | None) -> list[Effect]:
+        if record is None:
+            return self._recovery.send(now_ms, event.flow, event.payload)
+        self._state.store(now_ms, record)
+        return self._state.to_target(record.target, event.payload)
+
+    def _reset_to_home(self, event: CallerReset, hops: int) -> list[Effect]:
+        home = self._state.routes.home_manager(event.flow)
+        if home is None or home == self._state.me or hops >= MAX_RELAY_HOPS:
+            return drop(DropReason.UNKNOWN_FLOW)
+        return [SendToPeer(home, RelayUnknown(hops + 1), event.payload)]
+
+    def _cancel(self, now_ms: int, record: FlowRecord, payload: bytes) -> list[Effect]:
+        effects: list[Effect] = []
+        if record.phase in FORWARDED_PHASES or record.phase is Phase.OPENING:
+            effects += self._state.to_target(record.target, payload)
+        pending = self._state.pending.pop(record.flow, None)
+        route = self._state.targets.get(record.target)
+        shard = route.shard if route is not None else pending.shard if pending else None
+        pool = self._state.pools.get(shard) if shard is not None else None
+        if pool is not None:
+            effects += self._opens.apply(now_ms, pool.cancel(now_ms, record.flow))
+        if route is None:
+            self._state.table.remove(record.flow)
+        else:
+            self._state.table.signal(self._state.table.row(record.flow), Signal.CANCEL)
+            self._state.expiry.note_end(now_ms, record.flow)
+        return effects
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -0,0 +1,97 @@
+"""The state that the parts of the entry core share."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .address_history import AddressHistory
+from .admission import ShardAdmission
+from .effects import Effect, Notify, SendToTarget
+from .expiry import RecordExpiry
+from .flow_table import COUNTED_PHASES, FlowRecord, FlowTable
+from .identifiers import Endpoint, EntryName, FlowKey, TargetName, ZoneName
+from .notices import DropReason, PacketDropped
+from .relay import ShardKey
+from .routing import ManagerRanks, RouteTable, ServiceIndex, TargetRoute
+
+# Earlier tables are asked for records; by then a flow's records have reached later managers.
+RETAINED_TABLES = 6
+
+
+@dataclass(slots=True)
+class PendingOpen:
+    """Keep the packet of an open until a target accepted it or it was refused."""
+
+    payload: bytes
+    caller_token: int
+    shard: ShardKey
+    tried: tuple[ZoneName, ...]
+
+
+@dataclass(slots=True)
+class EntryState:
+    """Hold flow records, routes and pools; owned by one `EntryCore`."""
+
+    me: EntryName
+    history: AddressHistory
+    table: FlowTable = field(default_factory=FlowTable)
+    routes: RouteTable = field(
+        default_factory=lambda: RouteTable(ServiceIndex(None), ManagerRanks(()))
+    )
+    retained: deque[RouteTable] = field(default_factory=lambda: deque(maxlen=RETAINED_TABLES))
+    pools: dict[ShardKey, ShardAdmission] = field(default_factory=dict)
+    pending: dict[FlowKey, PendingOpen] = field(default_factory=dict)
+    # Targets of this and earlier configurations: a flow outlives its target's entry in the file.
+    targets: dict[TargetName, TargetRoute] = field(default_factory=dict)
+    tunnels: dict[TargetName, Endpoint] = field(default_factory=dict)
+    target_by_host: dict[str, TargetRoute] = field(default_factory=dict)
+    # Live and leaving entry VMs; both can be asked for records.
+    reachable: frozenset[EntryName] = frozenset()
+    expiry: RecordExpiry = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.expiry = RecordExpiry(self.table)
+
+    def is_manager(self, shard: ShardKey) -> bool:
+        """Return whether this entry VM manages a shard."""
+        return self.routes.manager(shard) == self.me
+
+    def store(self, now_ms: int, record: FlowRecord) -> None:
+        """Store a record and count it when this entry VM manages the target's shard."""
+        self.table.put(record, now_ms)
+        route = self.targets.get(record.target)
+        address = self.routes.address(record.flow)
+        if route is None or address is None or record.phase not in COUNTED_PHASES:
+            return
+        pool = self.pools.get(route.shard)
+        if pool is not None:
+            pool.adopt(now_ms, record, address.kind)
+
+    def to_target(self, target: TargetName, payload: bytes) -> list[Effect]:
+        """Send a caller's packet to a target."""
+        tunnel = self.tunnels.get(target)
+        if tunnel is None:
+            return drop(DropReason.UNKNOWN_TARGET)
+        return [SendToTarget(tunnel, payload)]
+
+    def learn_targets(self, index: ServiceIndex) -> None:
+        """Take the targets of a new configuration; hosts that moved to another service change."""
+        for host, route in index.target_by_host.items():
+            known = self.target_by_host.get(host)
+            if known is not None and known.target.name != route.target.name:
+                # Packets of the old target's flows must not reach the new owner of its host.
+                self.tunnels.pop(known.target.name, None)
+                self.targets.pop(known.target.name, None)
+            self.target_by_host[host] = route
+        for name, route in index.targets.items():
+            self.targets[name] = route
+            self.tunnels[name] = route.target.tunnel
+
+
+_DROPS: dict[DropReason, Notify] = {
+    reason: Notify(PacketDropped(reason)) for reason in DropReason
+}
+
+
+def drop(reason: DropReason) -> list[Effect]:
+    """Drop a packet and count it."""
+    return [_DROPS[reason]]
--- a/packages/core/src/fuchsiaspread_core/flow_table.py
+++ b/packages/core/src/fuchsiaspread_core/flow_table.py
@@ -119,6 +119,10 @@
         """Iterate over all records."""
         return (self._record_at(flow, row) for flow, row in self._rows.items())
 
+    def flows(self) -> list[FlowKey]:
+        """Return the keys of all records."""
+        return list(self._rows)
+
     def put(self, record: FlowRecord, now_ms: int) -> int:
         """Store a record, replacing an earlier one of the same key; return its row."""
         row = self._rows.get(record.flow, -1)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/open_path.py
@@ -0,0 +1,224 @@
+"""The path of opens: home manager, spill to other shards, admission, refusal."""
+
+from typing import assert_never
+
+from .admission import (
+    Admit,
+    Decision,
+    Decline,
+    Enqueue,
+    Inform,
+    OpenFailure,
+    OpenRequest,
+    Refuse,
+)
+from .effects import Effect, Notify, RefuseOpen, SendToPeer
+from .entry_state import EntryState, PendingOpen, drop
+from .events import CallerOpen
+from .flow_table import ENDED_PHASES, NO_TARGET, FlowRecord, Phase
+from .identifiers import FlowKey, TargetName
+from .notices import DropReason, OpenRefused, RefusalReason
+from .relay import MAX_RELAY_HOPS, RelayOpen, ShardKey
+from .routing import AddressRoute
+
+# Reasons that concern one shard only, so that another shard may still run the work.
+SPILLED_REASONS = frozenset({RefusalReason.NO_TARGET, RefusalReason.RETRIES_USED})
+
+
+class OpenPath:
+    """Decide about opens of the shards that this entry VM manages and pass on the others."""
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+
+    def receive(self, now_ms: int, event: CallerOpen, is_stale: bool) -> list[Effect]:
+        """Take an open from the fabric or from another entry VM."""
+        address = self._state.routes.address(event.flow)
+        if address is None:
+            return drop(self._unknown_reason())
+        relay = event.relay if isinstance(event.relay, RelayOpen) else None
+        if relay is None or relay.shard.service != address.service:
+            if relay is not None and relay.revision > self._state.routes.revision:
+                # The sender knows a newer service of this address; deciding by the older
+                # configuration could hand the open to the wrong service.
+                return drop(DropReason.OLDER_REVISION)
+            relay = self._first_relay(event.flow, address, relay)
+        if relay is None:
+            return drop(DropReason.NO_MANAGER)
+        if not self._state.is_manager(relay.shard):
+            return self._pass_on(event.flow, relay, event.payload)
+        if is_stale:
+            return drop(DropReason.STALE_VIEW)
+        return self._decide(now_ms, event, relay, address)
+
+    def home_shard(self, flow: FlowKey) -> ShardKey | None:
+        """Return the home shard of a flow, or None when its address is not known."""
+        return next(iter(self._order(flow)), None)
+
+    def fail(self, now_ms: int, flow: FlowKey, target: TargetName) -> list[Effect]:
+        """Act on a target's reset of an open that was given to it."""
+        route = self._state.targets.get(target)
+        pool = self._state.pools.get(route.shard) if route else None
+        if pool is None:
+            return drop(DropReason.UNKNOWN_FLOW)
+        return self.apply(now_ms, pool.fail_open(now_ms, flow, OpenFailure.RESET))
+
+    def apply(self, now_ms: int, decisions: list[Decision]) -> list[Effect]:
+        """Carry out the decisions of a shard's admission."""
+        effects: list[Effect] = []
+        for decision in decisions:
+            effects += self._apply_one(now_ms, decision)
+        return effects
+
+    def _unknown_reason(self) -> DropReason:
+        has_configuration = bool(self._state.routes.index.addresses)
+        return DropReason.UNKNOWN_SERVICE if has_configuration else DropReason.NO_CONFIGURATION
+
+    def _first_relay(
+        self, flow: FlowKey, address: AddressRoute, earlier: RelayOpen | None
+    ) -> RelayOpen | None:
+        order = self._state.routes.shard_order(flow, address.service)
+        if not order:
+            return None
+        hops = earlier.hops if earlier else 0
+        return RelayOpen(order[0], (), self._state.routes.revision, hops)
+
+    def _pass_on(self, flow: FlowKey, relay: RelayOpen, payload: bytes) -> list[Effect]:
+        manager = self._state.routes.manager(relay.shard)
+        if manager is None:
+            return drop(DropReason.NO_MANAGER)
+        if relay.hops >= MAX_RELAY_HOPS:
+            return drop(DropReason.HOP_LIMIT)
+        onward = RelayOpen(
+            relay.shard, relay.tried, self._state.routes.revision, relay.hops + 1
+        )
+        return [SendToPeer(manager, onward, payload)]
+
+    def _decide(
+        self, now_ms: int, event: CallerOpen, relay: RelayOpen, address: AddressRoute
+    ) -> list[Effect]:
+        record = self._state.table.record(event.flow)
+        if record is not None and not self._is_returned(record, event, relay):
+            repeated = self._repeat(now_ms, record, event, address)
+            if repeated is not None:
+                return repeated
+        self._state.pending[event.flow] = PendingOpen(
+            event.payload, event.caller_token, relay.shard, relay.tried
+        )
+        return self._offer(now_ms, event.flow, address)
+
+    def _is_returned(self, record: FlowRecord, event: CallerOpen, relay: RelayOpen) -> bool:
+        """Return whether every other shard passed this open back to its home manager."""
+        return (
+            record.phase is Phase.SPILLED
+            and record.caller_token == event.caller_token
+            and relay.shard.zone in relay.tried
+        )
+
+    def _repeat(
+        self, now_ms: int, record: FlowRecord, event: CallerOpen, address: AddressRoute
+    ) -> list[Effect] | None:
+        """Answer a repeated open from its record, or return None when it is a new one."""
+        if record.caller_token != event.caller_token:
+            route = self._state.targets.get(record.target)
+            is_moved = route is None or route.shard.service != address.service
+            if record.phase in ENDED_PHASES or is_moved or record.phase is Phase.QUEUED:
+                return self._forget(now_ms, record.flow)
+            # The target's transport answers an open on a live connection by itself.
+            return self._state.to_target(record.target, event.payload)
+        match record.phase:
+            case Phase.QUEUED:
+                return []
+            case Phase.SPILLED:
+                return self._spill(now_ms, event.flow, record.caller_token)
+            case Phase.REFUSED:
+                return [RefuseOpen(event.flow, event.caller_token)]
+            case _:
+                return self._state.to_target(record.target, event.payload)
+
+    def _forget(self, now_ms: int, flow: FlowKey) -> None:
+        self._state.table.remove(flow)
+        self._state.pending.pop(flow, None)
+
+    def _offer(self, now_ms: int, flow: FlowKey, address: AddressRoute) -> list[Effect]:
+        pending = self._state.pending[flow]
+        pool = self._state.pools.get(pending.shard)
+        if pool is None:
+            return drop(DropReason.NO_MANAGER)
+        is_last = pending.shard.zone in pending.tried or self._next_shard(flow, pending) is None
+        request = OpenRequest(flow, pending.caller_token, address.kind, not is_last)
+        return self._apply_one(now_ms, pool.offer(now_ms, request))
+
+    def _apply_one(self, now_ms: int, decision: Decision) -> list[Effect]:
+        match decision:
+            case Admit(flow, target):
+                return self._admit(now_ms, flow, target)
+            case Enqueue(flow):
+                self._put(now_ms, flow, NO_TARGET, Phase.QUEUED)
+                return []
+            case Decline(flow):
+                return self._spill_pending(now_ms, flow)
+            case Refuse(flow, reason):
+                return self._refuse(now_ms, flow, reason)
+            case Inform(notice):
+                return [Notify(notice)]
+            case _:
+                assert_never(decision)
+
+    def _admit(self, now_ms: int, flow: FlowKey, target: TargetName) -> list[Effect]:
+        pending = self._state.pending.get(flow)
+        if pending is None:
+            return []
+        self._put(now_ms, flow, target, Phase.OPENING)
+        return self._state.to_target(target, pending.payload)
+
+    def _put(self, now_ms: int, flow: FlowKey, target: TargetName, phase: Phase) -> None:
+        token = self._state.pending[flow].caller_token
+        self._state.table.put(FlowRecord(flow, target, phase, token, 0), now_ms)
+
+    def _spill_pending(self, now_ms: int, flow: FlowKey) -> list[Effect]:
+        pending = self._state.pending.get(flow)
+        if pending is None:
+            return []
+        self._put(now_ms, flow, NO_TARGET, Phase.SPILLED)
+        return self._spill(now_ms, flow, pending.caller_token)
+
+    def _spill(self, now_ms: int, flow: FlowKey, caller_token: int) -> list[Effect]:
+        """Pass an open to the next shard in its order, and at the end back to the first."""
+        pending = self._state.pending.get(flow)
+        if pending is None:
+            return drop(DropReason.UNKNOWN_FLOW)
+        order = self._order(flow)
+        shard = self._next_shard(flow, pending) or order[0]
+        tried = (*pending.tried, pending.shard.zone)
+        relay = RelayOpen(shard, tried, self._state.routes.revision, 0)
+        if self._state.is_manager(shard):
+            address = self._state.routes.address(flow)
+            if address is None:
+                return drop(DropReason.UNKNOWN_SERVICE)
+            self._state.pending[flow] = PendingOpen(pending.payload, caller_token, shard, tried)
+            return self._offer(now_ms, flow, address)
+        return self._pass_on(flow, relay, pending.payload)
+
+    def _order(self, flow: FlowKey) -> list[ShardKey]:
+        address = self._state.routes.address(flow)
+        return self._state.routes.shard_order(flow, address.service) if address else []
+
+    def _next_shard(self, flow: FlowKey, pending: PendingOpen) -> ShardKey | None:
+        tried = (*pending.tried, pending.shard.zone)
+        return next((shard for shard in self._order(flow) if shard.zone not in tried), None)
+
+    def _refuse(self, now_ms: int, flow: FlowKey, reason: RefusalReason) -> list[Effect]:
+        pending = self._state.pending.get(flow)
+        if pending is None:
+            return []
+        if reason in SPILLED_REASONS and self._next_shard(flow, pending) is not None:
+            return self._spill_pending(now_ms, flow)
+        del self._state.pending[flow]
+        token = pending.caller_token
+        # The record answers repeated opens of this incarnation in the same way: after "not
+        # run" the work must not be run.
+        self._state.table.put(FlowRecord(flow, NO_TARGET, Phase.REFUSED, token, 0), now_ms)
+        self._state.expiry.note_end(now_ms, flow)
+        notice = OpenRefused(pending.shard.service, reason)
+        return [RefuseOpen(flow, token), Notify(notice)]
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/routing.py
@@ -0,0 +1,143 @@
+"""Routes from service addresses to shards, targets and managers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from .configuration import (
+    AddressKind,
+    Configuration,
+    Revision,
+    Service,
+    Target,
+    TargetState,
+)
+from .identifiers import (
+    AddressKey,
+    EntryName,
+    FlowKey,
+    ServiceName,
+    TargetName,
+    ZoneName,
+    address_key,
+    address_of,
+)
+from .members import Member
+from .relay import ShardKey
+from .rendezvous import rank, rank_weighted
+
+# A third rank is never used: manager and backup are the first two.
+RANKS_KEPT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class AddressRoute:
+    """Name the service behind an address and the kind of its flows."""
+
+    service: ServiceName
+    kind: AddressKind
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRoute:
+    """Name the shard that a target belongs to."""
+
+    target: Target
+    shard: ShardKey
+
+
+class ServiceIndex:
+    """Index one configuration by address, target and shard."""
+
+    def __init__(self, configuration: Configuration | None) -> None:
+        self.revision = configuration.revision if configuration else Revision(0, 0)
+        self.addresses: dict[AddressKey, AddressRoute] = {}
+        self.targets: dict[TargetName, TargetRoute] = {}
+        self.target_by_host: dict[str, TargetRoute] = {}
+        self.shards: dict[ShardKey, tuple[Target, ...]] = {}
+        self.zone_weights: dict[ServiceName, dict[ZoneName, int]] = {}
+        for service in configuration.services if configuration else ():
+            self._add(service)
+
+    def _add(self, service: Service) -> None:
+        for address in service.addresses:
+            route = AddressRoute(service.name, address.kind)
+            self.addresses[address_key(address.endpoint)] = route
+        weights = self.zone_weights.setdefault(service.name, {})
+        for target in service.targets:
+            shard = ShardKey(service.name, target.zone)
+            route = TargetRoute(target, shard)
+            self.targets[target.name] = route
+            self.target_by_host[target.tunnel.host] = route
+            self.shards[shard] = (*self.shards.get(shard, ()), target)
+            active = target.weight if target.state is TargetState.ACTIVE else 0
+            weights[target.zone] = weights.get(target.zone, 0) + active
+
+
+class ManagerRanks:
+    """Rank the live entry VMs for each shard; ranks are computed when first asked for."""
+
+    def __init__(self, members: tuple[Member, ...]) -> None:
+        self._by_zone: dict[ZoneName, list[EntryName]] = {}
+        for member in members:
+            self._by_zone.setdefault(member.zone, []).append(member.name)
+        self._all = [member.name for member in members]
+        self._ranks: dict[ShardKey, tuple[EntryName, ...]] = {}
+
+    def ranks(self, shard: ShardKey) -> tuple[EntryName, ...]:
+        """Return the manager and the backup of a shard, as far as there are any."""
+        ranks = self._ranks.get(shard)
+        if ranks is None:
+            ranks = self._ranks[shard] = self._rank(shard)
+        return ranks
+
+    def _rank(self, shard: ShardKey) -> tuple[EntryName, ...]:
+        key = f"{shard.service}/{shard.zone}".encode()
+        ranked = rank(key, self._by_zone.get(shard.zone, ()))
+        if len(ranked) < RANKS_KEPT:
+            # A zone with one entry VM has its backup in another zone, so that the loss of the
+            # zone's only entry VM does not lose the records of its targets.
+            ranked += [name for name in rank(key, self._all) if name not in ranked]
+        return tuple(ranked[:RANKS_KEPT])
+
+
+class RouteTable:
+    """Combine a configuration's index with the ranks of the live entry VMs."""
+
+    def __init__(self, index: ServiceIndex, ranks: ManagerRanks) -> None:
+        self.index = index
+        self._ranks = ranks
+
+    @property
+    def revision(self) -> Revision:
+        """Return the revision of the configuration."""
+        return self.index.revision
+
+    def address(self, flow: FlowKey) -> AddressRoute | None:
+        """Return the route of the address that a flow was opened to, or None."""
+        return self.index.addresses.get(address_of(flow))
+
+    def shard_order(self, flow: FlowKey, service: ServiceName) -> list[ShardKey]:
+        """Return the service's shards in the order in which a flow tries them."""
+        weights = self.index.zone_weights.get(service, {})
+        return [ShardKey(service, zone) for zone in rank_weighted(flow, weights)]
+
+    def ranks(self, shard: ShardKey) -> tuple[EntryName, ...]:
+        """Return the manager and the backup of a shard."""
+        return self._ranks.ranks(shard)
+
+    def manager(self, shard: ShardKey) -> EntryName | None:
+        """Return the manager of a shard, or None when no entry VM is live."""
+        ranks = self._ranks.ranks(shard)
+        return ranks[0] if ranks else None
+
+    def home_manager(self, flow: FlowKey) -> EntryName | None:
+        """Return the manager of a flow's home shard, or None."""
+        route = self.address(flow)
+        if route is None:
+            return None
+        order = self.shard_order(flow, route.service)
+        return self.manager(order[0]) if order else None
+
+    def managed_by(self, entry: EntryName) -> Iterator[ShardKey]:
+        """Iterate over the shards that an entry VM manages."""
+        return (shard for shard in self.index.shards if self.manager(shard) == entry)
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/__init__.py
@@ -0,0 +1,1 @@
+"""A few entry cores, targets and callers joined in memory."""
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
@@ -0,0 +1,91 @@
+"""Targets of the in-memory fleet."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from fuchsiaspread_core.identifiers import FlowKey
+from xxhash import xxh32_intdigest
+
+from .packet import (
+    TOKEN_RANGE,
+    CallerPacket,
+    CallerSignal,
+    TargetPacket,
+    TargetSignal,
+)
+
+
+@dataclass(slots=True)
+class Connection:
+    """Hold the target's end of a connection."""
+
+    caller_token: int
+    target_token: int
+    is_established: bool = False
+
+
+@dataclass(slots=True)
+class FleetTarget:
+    """Answer packets as a host's transport does; a request ends with the answer."""
+
+    name: str
+    service: str
+    request_ms: int = 20
+    is_silent: bool = False
+    connections: dict[FlowKey, Connection] = field(default_factory=dict)
+    runs: Counter[tuple[FlowKey, int]] = field(default_factory=Counter)
+    opens: int = 0
+    last_open_ms: int = -1
+    wrong_service_packets: int = 0
+    _next_token: int = 1
+
+    def receive(self, now_ms: int, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
+        """Take a caller's packet; return replies, each with a delay in milliseconds."""
+        if packet.service != self.service:
+            self.wrong_service_packets += 1
+        if self.is_silent:
+            return []
+        match packet.signal:
+            case CallerSignal.OPEN:
+                return self._open(now_ms, packet)
+            case CallerSignal.RESET:
+                self.connections.pop(packet.flow, None)
+                return []
+            case CallerSignal.DATA:
+                return self._data(packet)
+
+    def _open(self, now_ms: int, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
+        connection = self.connections.get(packet.flow)
+        if connection is None or connection.caller_token != packet.caller_token:
+            self.opens += 1
+            self.last_open_ms = now_ms
+            self._next_token += 1
+            # Tokens of different targets and connections must differ widely, as real ones do.
+            token = xxh32_intdigest(f"{self.name}/{self._next_token}")
+            connection = Connection(packet.caller_token, token)
+            self.connections[packet.flow] = connection
+        acknowledges = (packet.caller_token + 1) % TOKEN_RANGE
+        token = connection.target_token
+        return [(0, TargetPacket(TargetSignal.ACCEPT, packet.flow, token, acknowledges))]
+
+    def _data(self, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
+        connection = self.connections.get(packet.flow)
+        is_bound = (
+            connection is not None
+            and (connection.target_token + 1) % TOKEN_RANGE == packet.acknowledges
+        )
+        if connection is None or not is_bound:
+            token = packet.acknowledges
+            return [(0, TargetPacket(TargetSignal.RESET, packet.flow, token, packet.number))]
+        reply = TargetPacket(
+            TargetSignal.DATA, packet.flow, packet.acknowledges, packet.number, packet.number
+        )
+        if packet.number >= 0:
+            return [(0, reply)]
+        is_first = self.runs[packet.flow, packet.caller_token] == 0
+        self.runs[packet.flow, packet.caller_token] += 1 if is_first else 0
+        delay_ms = self.request_ms if is_first else 0
+        closing = TargetPacket(
+            TargetSignal.CLOSE, packet.flow, packet.acknowledges, packet.number, packet.number
+        )
+        return [(delay_ms, closing)]
