--- a/packages/core/src/fuchsiaspread_core/control.py
+++ b/packages/core/src/fuchsiaspread_core/control.py
@@ -1,4 +1,7 @@
-"""Control messages between entry VMs."""
+"""Control messages between entry VMs.
+
+`revision` is what the sender has in force, `newest` the newest parts that it has seen.
+"""
 
 from dataclasses import dataclass
 
@@ -6,6 +9,8 @@
 from .identifiers import EntryName
 from .members import Member
 
+NO_REVISION = Revision(0, 0)
+
 
 @dataclass(frozen=True, slots=True)
 class Probe:
@@ -14,6 +19,7 @@
     sequence: int
     revision: Revision
     updates: tuple[Member, ...]
+    newest: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +30,7 @@
     subject: EntryName
     revision: Revision
     updates: tuple[Member, ...]
+    newest: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +41,16 @@
     subject: EntryName
     revision: Revision
     updates: tuple[Member, ...]
+    newest: Revision = NO_REVISION
 
 
 ControlMessage = Probe | ProbeAnswer | ProbeRequest
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRevision:
+    """Report the revisions that another entry VM stated in a control message."""
+
+    peer: EntryName
+    revision: Revision
+    newest: Revision = NO_REVISION
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the components that are not public."""
--- a/packages/core/src/fuchsiaspread_core/notices.py
+++ b/packages/core/src/fuchsiaspread_core/notices.py
@@ -106,6 +106,15 @@
     faults: tuple[Fault, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PartConflict:
+    """Report that a source has other content at an index that is already held."""
+
+    part: str
+    index: int
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class MemberChanged:
     """Report a change of another entry VM's state."""
@@ -154,6 +163,7 @@
     | FlowRecovered
     | ConfigurationApplied
     | ConfigurationRefused
+    | PartConflict
     | MemberChanged
     | ViewBecameStale
     | ViewBecameFresh
