--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/internal/gossip.py
@@ -0,0 +1,78 @@
+"""Member changes that ride on control messages."""
+
+from ..identifiers import EntryName
+from ..members import Member, MemberState
+from .draws import Draws
+from .roster import Roster
+from .update_queue import MAX_UPDATES, UpdateQueue
+
+# A newcomer without a list learns this many members from each answer to its first message.
+MAX_SYNC_UPDATES = 8
+# Many newcomers at once must not multiply the traffic of those who answer them.
+SYNC_INTERVAL_MS = 1000
+
+
+class Gossip:
+    """Choose the updates of each message, within a bound for each message."""
+
+    def __init__(self, me: Member, roster: Roster, draws: Draws) -> None:
+        self.me = me
+        self._roster = roster
+        self._draws = draws
+        self._queue = UpdateQueue()
+        self._queue.add(me.name)
+        # Members that have answered since the own record last changed.
+        self._introduced: set[EntryName] = set()
+        self._heard: set[EntryName] = set()
+        self._sync_allowed_ms = 0
+
+    def spread(self, name: EntryName) -> None:
+        """Pass on the changed record of a member."""
+        self._queue.add(name)
+
+    def restate(self, me: Member) -> None:
+        """Replace the own record and pass it on."""
+        self.me = me
+        self._queue.add(me.name)
+        self._introduced.clear()
+
+    def note_answer(self, name: EntryName) -> None:
+        """Note that a member answered, so that it knows the own record."""
+        self._introduced.add(name)
+
+    def forget(self, name: EntryName) -> None:
+        """Forget a removed member."""
+        self._queue.discard(name)
+        self._introduced.discard(name)
+        self._heard.discard(name)
+
+    def updates_for(self, name: EntryName) -> tuple[Member, ...]:
+        """Return the updates of one message: what its receiver must answer to comes first."""
+        chosen: dict[EntryName, Member] = {}
+        entry = self._roster.get(name)
+        if entry is not None and entry.member.state is not MemberState.LIVE:
+            chosen[name] = entry.member
+        if name not in self._introduced:
+            chosen[self.me.name] = self.me
+        for queued in self._queue.take(len(self._roster) + 1, MAX_UPDATES - len(chosen)):
+            chosen.setdefault(queued, self._record_of(queued))
+        return tuple(chosen.values())
+
+    def sync_for(self, now_ms: int, sender: EntryName) -> tuple[Member, ...]:
+        """Return what a member that sends its first message may lack: dead and leaving first."""
+        is_first = sender not in self._heard
+        self._heard.add(sender)
+        if not is_first or now_ms < self._sync_allowed_ms:
+            return ()
+        self._sync_allowed_ms = now_ms + SYNC_INTERVAL_MS
+        others = [entry.member for entry in self._roster if entry.member.name != sender]
+        if not others:
+            return ()
+        start = self._draws.below(len(others))
+        rotated = others[start:] + others[:start]
+        rotated.sort(key=lambda member: -member.state)
+        return tuple(rotated[:MAX_SYNC_UPDATES])
+
+    def _record_of(self, name: EntryName) -> Member:
+        entry = self._roster.get(name)
+        return self.me if entry is None else entry.member
--- /dev/null
+++ b/packages/core/tests/core/test_membership.py
@@ -0,0 +1,228 @@
+"""Guard failure detection, refutation and the part that the platform's list plays."""
+
+import unittest
+
+from fuchsiaspread_core.configuration import Revision
+from fuchsiaspread_core.control import PeerRevision, Probe, ProbeAnswer
+from fuchsiaspread_core.events import ControlReceived, MembersPublished, StopRequested
+from fuchsiaspread_core.identifiers import EntryName
+from fuchsiaspread_core.internal.roster import UNLISTED_STAY_MS
+from fuchsiaspread_core.internal.update_queue import MAX_UPDATES, UpdateQueue
+from fuchsiaspread_core.members import MemberState
+from hypothesis import given
+from hypothesis import strategies as st
+
+from . import profile  # noqa: F401
+from .virtual_fleet import fleet_of, member, name_of
+
+NOTICE_LIMIT_MS = 2500
+
+
+def names(*numbers: int) -> list[EntryName]:
+    return [name_of(number) for number in numbers]
+
+
+class DetectionTest(unittest.TestCase):
+    @given(st.integers(0, 40))
+    def test_killed_member_is_noticed_by_all(self, killed_at: int) -> None:
+        """Guards against opens that go to a dead manager for longer than the design states."""
+        fleet = fleet_of(4)
+        fleet.run(50 * killed_at)
+        fleet.paused.add(name_of(2))
+        fleet.run(NOTICE_LIMIT_MS)
+        self.assertEqual(fleet.views(1, 3, 4), [names(1, 3, 4)] * 3)
+
+    def test_member_behind_a_cut_link_stays_live_through_indirect_probes(self) -> None:
+        """Guards against one broken link passing for a dead member."""
+        fleet = fleet_of(4)
+        fleet.is_cut = lambda sender, receiver: {sender, receiver} == set(names(1, 2))
+        fleet.run(20_000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+    def test_silence_for_less_than_the_suspicion_is_refuted(self) -> None:
+        """Guards against a short pause taking a member's shards away."""
+        fleet = fleet_of(4)
+        for _ in range(10):
+            fleet.paused.add(name_of(2))
+            fleet.run(450)
+            fleet.paused.clear()
+            fleet.run(1500)
+            self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+        # Suspicions came up and were refuted: otherwise this test would show nothing.
+        self.assertGreater(fleet.memberships[name_of(2)].me.incarnation, 0)
+
+    def test_pause_of_the_own_process_makes_no_other_member_dead(self) -> None:
+        """Guards against a member that wakes up and counts the healthy others as dead."""
+        fleet = fleet_of(4)
+        fleet.paused.add(name_of(2))
+        fleet.run(10_000)
+        fleet.paused.clear()
+        fleet.notices[name_of(2)].clear()
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+        self.assertEqual(fleet.notices[name_of(2)], [])
+
+    def test_partition_splits_the_view_and_heals(self) -> None:
+        """Guards against two sides that never find each other again."""
+        fleet = fleet_of(4)
+        far = set(names(3, 4))
+        fleet.is_cut = lambda sender, receiver: (sender in far) != (receiver in far)
+        fleet.run(10_000)
+        self.assertEqual(fleet.views(), [names(1, 2)] * 2 + [names(3, 4)] * 2)
+        fleet.is_cut = lambda sender, receiver: False
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+    def test_replacement_under_the_same_name_comes_back(self) -> None:
+        """Guards against a new process that others hold dead at a higher incarnation."""
+        fleet = fleet_of(4)
+        fleet.paused.add(name_of(2))
+        fleet.run(5000)
+        fleet.paused.clear()
+        fleet.add(2, has_list=range(1, 5))
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+
+class LeavingTest(unittest.TestCase):
+    def test_stopping_member_leaves_every_view_and_still_answers(self) -> None:
+        """Guards against new work for a member that drains."""
+        fleet = fleet_of(4)
+        fleet.deliver(name_of(2), StopRequested())
+        fleet.run(500)
+        self.assertEqual(fleet.views(), [names(1, 3, 4)] * 4)
+        self.assertEqual([one.name for one in fleet.memberships[name_of(1)].leaving], names(2))
+        fleet.paused.add(name_of(2))
+        fleet.run(5000)
+        self.assertEqual(fleet.memberships[name_of(1)].leaving, ())
+
+    def test_member_listed_as_leaving_counts_as_leaving(self) -> None:
+        """Guards against new work for a member that the platform takes away."""
+        fleet = fleet_of(4)
+        fleet.publish([1, 3, 4], leaving=[2])
+        fleet.run(2000)
+        self.assertEqual(fleet.views(), [names(1, 3, 4)] * 4)
+        fleet.publish([1, 2, 3, 4])
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+
+class ListTest(unittest.TestCase):
+    def test_lagging_list_does_not_revive_a_dead_member(self) -> None:
+        """Guards against a list that still names a dead member."""
+        fleet = fleet_of(4)
+        fleet.paused.add(name_of(2))
+        fleet.run(5000)
+        fleet.publish([1, 2, 3, 4])
+        fleet.run(2000)
+        self.assertEqual(fleet.views(1, 3, 4), [names(1, 3, 4)] * 3)
+
+    def test_member_off_the_list_stays_for_a_bounded_time(self) -> None:
+        """Guards against a stale list dropping a live member, and against keeping it for ever."""
+        fleet = fleet_of(4)
+        fleet.publish([1, 3, 4])
+        fleet.run(UNLISTED_STAY_MS - 5000)
+        self.assertEqual(fleet.views(1, 3, 4), [names(1, 2, 3, 4)] * 3)
+        fleet.run(10_000)
+        self.assertEqual(fleet.views(1, 3, 4), [names(1, 3, 4)] * 3)
+        fleet.publish([1, 2, 3, 4])
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+    def test_empty_list_changes_nothing(self) -> None:
+        """Guards against a faulty platform that makes every member forget all others."""
+        fleet = fleet_of(4)
+        fleet.publish([])
+        fleet.run(UNLISTED_STAY_MS + 5000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+    def test_members_find_each_other_by_seeds_without_a_list(self) -> None:
+        """Guards against a cold start while the platform is down, in pairs that stay apart."""
+        fleet = fleet_of(0)
+        for number, seeds in ((1, [2]), (2, [1]), (3, [4, 1]), (4, [3])):
+            fleet.add(number, seeds=seeds)
+        fleet.run(10_000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
+    def test_newcomer_joins_by_one_seed_and_learns_of_all(self) -> None:
+        """Guards against a new VM that knows only its seed while the platform is down."""
+        fleet = fleet_of(20)
+        fleet.add(21, seeds=[7])
+        fleet.run(20_000)
+        self.assertEqual({len(view) for view in fleet.views()}, {21})
+
+
+class MessageTest(unittest.TestCase):
+    def test_cost_of_a_member_does_not_depend_on_the_fleet(self) -> None:
+        """Guards against control traffic that grows with the fleet."""
+        counts = []
+        for size in (4, 32):
+            fleet = fleet_of(size)
+            fleet.run(10_000)
+            counts.append(sum(len(sent) for sent in fleet.sent.values()) / size)
+        self.assertAlmostEqual(counts[0], counts[1], delta=counts[0] * 0.1)
+
+    def test_updates_of_a_message_are_bounded_when_many_die(self) -> None:
+        """Guards against datagrams that grow with the number of failures."""
+        fleet = fleet_of(32)
+        fleet.run(20_000)  # Until all have met: first answers carry more, for newcomers.
+        fleet.paused.update(names(*range(17, 33)))
+        for sent in fleet.sent.values():
+            sent.clear()
+        fleet.run(15_000)
+        sizes = [len(one.message.updates) for sent in fleet.sent.values() for one in sent]
+        self.assertLessEqual(max(sizes), MAX_UPDATES)
+        self.assertEqual(fleet.views(1, 16), [sorted(names(*range(1, 17)))] * 2)
+
+    def test_update_is_sent_a_logarithmic_number_of_times(self) -> None:
+        """Guards against changes that are passed on for ever."""
+        for count, sends in ((3, 6), (255, 24)):
+            queue = UpdateQueue()
+            queue.add(name_of(1))
+            taken = [queue.take(count, MAX_UPDATES) for _ in range(100)]
+            self.assertEqual(sum(len(names) for names in taken), sends)
+
+    def test_each_message_reports_the_revision_of_its_sender(self) -> None:
+        """Guards against peers that do not hear of a newer configuration."""
+        fleet = fleet_of(4)
+        changed = fleet.memberships[name_of(3)]
+        changed.revision, changed.newest_revision = Revision(7, 2), Revision(8, 2)
+        fleet.heard_revisions.clear()
+        fleet.run(150)
+        stated = PeerRevision(name_of(3), Revision(7, 2), Revision(8, 2))
+        receivers = {receiver for receiver, one in fleet.heard_revisions if one == stated}
+        self.assertEqual(receivers, set(names(1, 2, 4)))
+
+    def test_message_of_an_unknown_sender_without_its_record_is_ignored(self) -> None:
+        """Guards against members without an address."""
+        fleet = fleet_of(2)
+        probe = Probe(1, Revision(0, 0), ())
+        effects = fleet.memberships[name_of(1)].handle(
+            fleet.now_ms, ControlReceived(EntryName("stranger"), probe)
+        )
+        self.assertEqual(effects, [])
+
+    def test_late_answer_of_an_earlier_probe_does_not_answer_the_current_one(self) -> None:
+        """Guards against counting a dead member as live by an old answer."""
+        fleet = fleet_of(2)
+        fleet.paused.add(name_of(2))
+        old = ProbeAnswer(1, name_of(2), Revision(0, 0), ())
+        for _ in range(60):
+            fleet.deliver(name_of(1), ControlReceived(name_of(2), old))
+            fleet.run(50)
+        self.assertEqual(fleet.views(1), [names(1)])
+        self.assertEqual(fleet.memberships[name_of(1)].dead[0].state, MemberState.DEAD)
+
+    def test_address_of_a_listed_replacement_is_taken_for_a_dead_member(self) -> None:
+        """Guards against probing a replaced VM at its former address for ever."""
+        fleet = fleet_of(2)
+        fleet.paused.add(name_of(2))
+        fleet.run(5000)
+        moved = member(9)
+        record = type(moved)(name_of(2), moved.zone, moved.peer, moved.control)
+        fleet.deliver(name_of(1), MembersPublished((member(1), record)))
+        found = fleet.memberships[name_of(1)].find(name_of(2))
+        self.assertEqual((found.peer, found.state), (moved.peer, MemberState.DEAD))
+
+
+if __name__ == "__main__":
+    unittest.main()
