--- /dev/null
+++ b/packages/configuration/src/fuchsiaspread_configuration/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the configuration package outside its public interface."""
--- /dev/null
+++ b/packages/configuration/src/fuchsiaspread_configuration/internal/consistency.py
@@ -0,0 +1,95 @@
+"""Checks across the values of a merged configuration.
+
+They work on plain values of any type, so that they run beside the checks of single values and
+all faults are reported together.
+"""
+
+from collections.abc import Iterator
+from typing import Any
+
+from fuchsiaspread_core.parts import Fault
+
+from .merging import Merged, Path, describe, item_label
+
+Item = tuple[Path, dict[str, Any]]
+
+
+def inconsistencies(merged: Merged) -> list[Fault]:
+    """Return the faults that only show across several values."""
+    return [
+        *_site_faults(merged),
+        *_overlapping_addresses(merged),
+        *_repeated_targets(merged),
+        *_missing_capacity(merged),
+    ]
+
+
+def _items(tree: Any, key: str, path: Path) -> Iterator[Item]:
+    entries = tree.get(key) if isinstance(tree, dict) else None
+    for index, item in enumerate(entries if isinstance(entries, list) else ()):
+        if isinstance(item, dict):
+            yield (*path, key, item_label(item, index)), item
+
+
+def _below_services(merged: Merged, key: str) -> Iterator[tuple[Item, Item]]:
+    for path, service in _items(merged.tree, "services", ()):
+        for item in _items(service, key, path):
+            yield (path, service), item
+
+
+def _fault(merged: Merged, path: Path, problem: str, remedy: str) -> Fault:
+    return Fault(merged.origin(path), describe(path), problem, remedy)
+
+
+def _site_faults(merged: Merged) -> Iterator[Fault]:
+    if not isinstance(merged.tree, dict):
+        return
+    site, sites = merged.tree.get("site"), merged.tree.get("sites")
+    if isinstance(site, str) and isinstance(sites, list) and site not in sites:
+        problem = f"the site {site} is not in the list sites"
+        remedy = "correct the site of the overlay, or add it to sites in the base file"
+        yield _fault(merged, ("site",), problem, remedy)
+
+
+def _overlapping_addresses(merged: Merged) -> Iterator[Fault]:
+    seen: dict[str, str] = {}
+    for (service_path, _), (path, item) in _below_services(merged, "addresses"):
+        address = item.get("address")
+        if not isinstance(address, str):
+            continue
+        if address in seen:
+            problem = f"{address} is also the address of {seen[address]}"
+            remedy = "give each address one service; change one of the two"
+            yield _fault(merged, (*path, "address"), problem, remedy)
+        else:
+            seen[address] = f"{service_path[-1]}/{path[-1]}"
+
+
+def _repeated_targets(merged: Merged) -> Iterator[Fault]:
+    names: dict[str, Path] = {}
+    hosts: dict[str, Path] = {}
+    for _, (path, target) in _below_services(merged, "targets"):
+        first = names.setdefault(path[-1], path)
+        # A name that appears twice in one list is reported with the file it is in.
+        if first[1] != path[1]:
+            problem = f"a target of this name is also under the service {first[1]}"
+            remedy = "a target serves one service; rename it or remove one entry"
+            yield _fault(merged, path, problem, remedy)
+        tunnel = target.get("tunnel")
+        if not isinstance(tunnel, str):
+            continue
+        host = tunnel.rpartition(":")[0]
+        first = hosts.setdefault(host, path)
+        if first != path:
+            problem = f"the host {host} is also the target {first[1]}/{first[-1]}"
+            remedy = "the source host of a reply names its target; give each target its own host"
+            yield _fault(merged, (*path, "tunnel"), problem, remedy)
+
+
+def _missing_capacity(merged: Merged) -> Iterator[Fault]:
+    for (_, service), (path, target) in _below_services(merged, "targets"):
+        for key in ("slots", "connections"):
+            if key not in service and key not in target:
+                problem = f"neither the target nor its service states {key}"
+                remedy = f"add {key} to the service, or to the target if it differs"
+                yield _fault(merged, (*path, key), problem, remedy)
--- /dev/null
+++ b/packages/configuration/src/fuchsiaspread_configuration/settings.py
@@ -0,0 +1,162 @@
+"""Settings of an entry VM."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Annotated, Literal
+
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, ZoneName
+from fuchsiaspread_core.members import Member
+from fuchsiaspread_core.parts import Fault
+from pydantic import Field, StringConstraints, ValidationError
+
+from .internal.explanation import explain
+from .internal.loading import UnreadableDocument, limited, load_yaml
+from .internal.merging import Merged, Path
+from .internal.values import EndpointText, FileModel, Milliseconds, Name
+
+
+class FabricModel(FileModel):
+    """Addresses towards the network fabric."""
+
+    listen: EndpointText
+    gateway: EndpointText
+
+
+class KeyModel(FileModel):
+    """Key that authenticates datagrams between entry VMs."""
+
+    id: Annotated[int, Field(ge=0, le=255)]
+    secret: Annotated[str, StringConstraints(pattern=r"^[0-9a-fA-F]{64}$")]
+
+
+class SeedModel(FileModel):
+    """Entry VM to try while the platform is down."""
+
+    name: Name
+    zone: Name
+    peer: EndpointText
+    control: EndpointText
+
+
+class SettingsModel(FileModel):
+    """Settings file of an entry VM."""
+
+    name: Name
+    site: Name
+    zone: Name
+    fabric: FabricModel
+    peer: EndpointText
+    control: EndpointText
+    admin: EndpointText
+    platform: list[EndpointText] = Field(min_length=1)
+    keys: list[KeyModel] = Field(min_length=1, max_length=8)
+    seeds: list[SeedModel] = Field(default_factory=list)
+    log: Literal["debug", "info", "warning", "error"] = "info"
+    stop_grace_ms: Milliseconds = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class FabricSettings:
+    """Name the own socket towards the fabric and the fabric's gateway."""
+
+    listen: Endpoint
+    gateway: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class PeerKey:
+    """Hold a key that authenticates datagrams between entry VMs."""
+
+    id: int
+    secret: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Hold the settings of an entry VM; the first key signs, all are accepted."""
+
+    name: EntryName
+    site: str
+    zone: ZoneName
+    fabric: FabricSettings
+    peer: Endpoint
+    control: Endpoint
+    admin: Endpoint
+    platform: tuple[Endpoint, ...]
+    keys: tuple[PeerKey, ...]
+    seeds: tuple[Member, ...] = ()
+    log: str = "info"
+    stop_grace_ms: int = 10_000
+
+    def member(self) -> Member:
+        """Return the entry VM itself as a member of its fleet."""
+        return Member(self.name, self.zone, self.peer, self.control)
+
+
+def load_settings(content: bytes, file: str) -> Settings | tuple[Fault, ...]:
+    """Return the settings in a file, or all faults found in it."""
+    document = load_yaml(content, file)
+    if isinstance(document, UnreadableDocument):
+        return document.faults
+    merged = Merged(document.tree, {(): file})
+    model, faults = None, []
+    try:
+        model = SettingsModel.model_validate(document.tree)
+    except ValidationError as error:
+        faults = explain(error, merged, SettingsModel.model_fields)
+    if model is not None:
+        faults += _repeated_values(model, file)
+    if model is None or faults:
+        return limited(_without_secrets(fault) for fault in faults)
+    return _settings(model)
+
+
+def _without_secrets(fault: Fault) -> Fault:
+    # A message about a bad key must not put most of a valid secret into logs.
+    if not fault.key.endswith("secret"):
+        return fault
+    return Fault(fault.file, fault.key, "the secret does not have the right form", fault.remedy)
+
+
+def _repeated_values(model: SettingsModel, file: str) -> list[Fault]:
+    faults = []
+    for key, count in Counter(key.id for key in model.keys).items():
+        if count > 1:
+            problem = f"the key id {key} appears {count} times"
+            faults.append(Fault(file, "keys", problem, "give each key an id of its own"))
+    for name, count in Counter(seed.name for seed in model.seeds).items():
+        if count > 1:
+            problem = f"the seed {name} appears {count} times"
+            faults.append(Fault(file, "seeds", problem, "remove all but one"))
+    for first, second in ((("fabric", "listen"), ("peer",)), (("control",), ("admin",))):
+        faults += _clash(model, first, second, file)
+    return faults
+
+
+def _clash(model: SettingsModel, first: Path, second: Path, file: str) -> list[Fault]:
+    own = model.fabric.listen if first[0] == "fabric" else getattr(model, first[0])
+    other = getattr(model, second[0])
+    if own != other:
+        return []
+    problem = f"{other.host}:{other.port} is also the address of {'.'.join(first)}"
+    return [Fault(file, second[0], problem, "give each of the two a port of its own")]
+
+
+def _settings(model: SettingsModel) -> Settings:
+    return Settings(
+        name=EntryName(model.name),
+        site=model.site,
+        zone=ZoneName(model.zone),
+        fabric=FabricSettings(model.fabric.listen, model.fabric.gateway),
+        peer=model.peer,
+        control=model.control,
+        admin=model.admin,
+        platform=tuple(model.platform),
+        keys=tuple(PeerKey(key.id, bytes.fromhex(key.secret)) for key in model.keys),
+        seeds=tuple(
+            Member(EntryName(seed.name), ZoneName(seed.zone), seed.peer, seed.control)
+            for seed in model.seeds
+        ),
+        log=model.log,
+        stop_grace_ms=model.stop_grace_ms,
+    )
