Run the entry core in a daemon with sockets and reports

Cause: the core decides, but nothing connects it to the fabric, the other entry VMs, the platform and the operators. Change: fuchsiaspread-entry with one task for each set of sockets, the codec of tunnelled packets, protobuf messages between entry VMs with a keyed hash and replay windows, gRPC calls proven in both directions, blocking queries to the platform, HTTP reports and metrics, one log line for each event, graceful stop and re-reading of settings.

--- a/packages/entry/src/fuchsiaspread_entry/__init__.py
+++ b/packages/entry/src/fuchsiaspread_entry/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Daemon of a layer-4 load balancer."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the daemon outside its public interface."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/datagram_socket.py
@@ -0,0 +1,74 @@
+"""Non-blocking UDP sockets that are drained in batches."""
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+
+from fuchsiaspread_core.identifiers import Endpoint
+
+# One readiness callback reads at most this many datagrams, so that other tasks get their turn.
+DRAIN_LIMIT = 64
+# Holds about 20 ms of datagrams of 200 bytes at full rate with the kernel's overhead.
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+Datagram = tuple[bytes, tuple[str, int]]
+
+
+class DatagramSocket:
+    """Own a UDP socket; `on_batch` is called with the datagrams of each drain."""
+
+    def __init__(
+        self, listen: Endpoint, max_bytes: int, on_batch: Callable[[list[Datagram]], None]
+    ) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        try:
+            self._socket.bind(listen)
+        except OSError:
+            self._socket.close()
+            raise
+        # One byte more than allowed, so that an oversized datagram is recognised by its length.
+        self._read_bytes = max_bytes + 1
+        self._on_batch = on_batch
+
+    @property
+    def address(self) -> Endpoint:
+        """Return the bound address."""
+        return Endpoint(*self._socket.getsockname())
+
+    def start(self) -> None:
+        """Begin to read on the running event loop."""
+        asyncio.get_running_loop().add_reader(self._socket, self._drain)
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+
+    def send_all(self, datagrams: Iterable[tuple[bytes, tuple[str, int]]]) -> int:
+        """Send datagrams and return how many the kernel did not take.
+
+        A full buffer or an unreachable address loses the datagram as a network would.
+        """
+        failed = 0
+        send = self._socket.sendto
+        for datagram, destination in datagrams:
+            try:
+                send(datagram, destination)
+            except OSError:
+                failed += 1
+        return failed
+
+    def _drain(self) -> None:
+        batch: list[Datagram] = []
+        receive, read_bytes, append = self._socket.recvfrom, self._read_bytes, batch.append
+        try:
+            for _ in range(DRAIN_LIMIT):
+                append(receive(read_bytes))
+        except OSError:
+            # Nothing left to read, or an error that an earlier send caused on this socket.
+            pass
+        if batch:
+            self._on_batch(batch)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/log.py
@@ -0,0 +1,92 @@
+"""Log lines: one key=value line for each event on standard output."""
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from enum import IntEnum
+
+import eliot
+
+# Events that packets can cause would otherwise fill the log at packet rate.
+LINES_PER_SECOND = 5
+LINES_BURST = 20
+MS_PER_SECOND = 1000
+# Fields that eliot adds for its action trees, which a line for each event does not need.
+HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
+
+
+class Level(IntEnum):
+    """Order the log levels."""
+
+    DEBUG = 0
+    INFO = 1
+    WARNING = 2
+    ERROR = 3
+
+
+@dataclass(slots=True)
+class _Bucket:
+    tokens: float
+    filled_ms: int
+    suppressed: int = 0
+
+
+class Log:
+    """Write events above a level, each kind of event at a bounded rate."""
+
+    def __init__(self, level: Level, now_ms: Callable[[], int]) -> None:
+        self.level = level
+        self._now_ms = now_ms
+        self._buckets: dict[str, _Bucket] = {}
+
+    def write(self, level: Level, event: str, **fields: object) -> None:
+        """Write one event unless its level or its rate forbids it."""
+        if level < self.level:
+            return
+        bucket = self._bucket(event)
+        if bucket.tokens < 1:
+            bucket.suppressed += 1
+            return
+        bucket.tokens -= 1
+        if bucket.suppressed:
+            fields["suppressed_lines"], bucket.suppressed = bucket.suppressed, 0
+        eliot.log_message(message_type=event, level=level.name.lower(), **fields)
+
+    def _bucket(self, event: str) -> _Bucket:
+        now_ms = self._now_ms()
+        bucket = self._buckets.setdefault(event, _Bucket(LINES_BURST, now_ms))
+        earned = (now_ms - bucket.filled_ms) * LINES_PER_SECOND / MS_PER_SECOND
+        bucket.tokens = min(LINES_BURST, bucket.tokens + earned)
+        bucket.filled_ms = now_ms
+        return bucket
+
+
+def level_of(name: str) -> Level:
+    """Return the level of a name in the settings file."""
+    return Level[name.upper()]
+
+
+def print_line(message: dict[str, object]) -> None:
+    """Print an eliot message as one key=value line; the destination of the daemon's log."""
+    print(format_line(message), flush=True, file=sys.stdout)
+
+
+def format_line(message: dict[str, object]) -> str:
+    """Return an eliot message as one key=value line."""
+    moment = datetime.fromtimestamp(float(str(message["timestamp"])), UTC)
+    pairs = [
+        ("time", moment.isoformat(timespec="milliseconds")),
+        ("level", message.get("level", "info")),
+        ("event", message.get("message_type", "")),
+        *((key, value) for key, value in message.items() if key not in HIDDEN_FIELDS),
+    ]
+    return " ".join(f"{key}={_quoted(value)}" for key, value in pairs)
+
+
+def _quoted(value: object) -> str:
+    text = str(value)
+    if text and text.isprintable() and not any(mark in text for mark in ' "='):
+        return text
+    escaped = text.encode("unicode_escape").decode("ascii").replace('"', '\\"')
+    return f'"{escaped}"'
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/mailboxes.py
@@ -0,0 +1,31 @@
+"""The mailboxes of all tasks of a daemon."""
+
+from dataclasses import dataclass, field
+
+from .mailbox import Mailbox
+from .task_messages import (
+    AdminMessage,
+    CoreMessage,
+    FabricMessage,
+    LoadEndpointsChanged,
+    PeerServiceMessage,
+    PeerTaskMessage,
+)
+
+# A batch holds up to 64 packets; more waiting batches than this add delay instead of throughput.
+PACKET_BATCH_LIMIT = 512
+MESSAGE_LIMIT = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class Mailboxes:
+    """Hold one mailbox for each task that takes messages."""
+
+    core: Mailbox[CoreMessage] = field(default_factory=lambda: Mailbox(PACKET_BATCH_LIMIT))
+    fabric: Mailbox[FabricMessage] = field(default_factory=lambda: Mailbox(PACKET_BATCH_LIMIT))
+    peer: Mailbox[PeerTaskMessage] = field(default_factory=lambda: Mailbox(PACKET_BATCH_LIMIT))
+    peer_service: Mailbox[PeerServiceMessage] = field(
+        default_factory=lambda: Mailbox(MESSAGE_LIMIT)
+    )
+    load: Mailbox[LoadEndpointsChanged] = field(default_factory=lambda: Mailbox(MESSAGE_LIMIT))
+    admin: Mailbox[AdminMessage] = field(default_factory=lambda: Mailbox(MESSAGE_LIMIT))
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -0,0 +1,140 @@
+"""Messages that the tasks of the daemon pass to each other."""
+
+from asyncio import Future
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fuchsiaspread_core.effects import FetchParts, SendControl, SendRecords, SendToPeer
+from fuchsiaspread_core.events import Event
+from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName
+from fuchsiaspread_core.members import Member
+from fuchsiaspread_core.parts import Part
+
+from .authentication import Keyring
+from .counts import Counts
+
+
+@dataclass(frozen=True, slots=True)
+class EventsReceived:
+    """Hand a batch of events to the core task."""
+
+    events: Sequence[Event]
+
+
+@dataclass(frozen=True, slots=True)
+class TickDue:
+    """Tell the core task that its timer has expired."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartsAsked:
+    """Ask the core task for the parts in force and the newest parts."""
+
+    reply: Future[tuple[tuple[Part, ...], tuple[Part, ...]]]
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAsked:
+    """Ask the core task for the body of the status report."""
+
+    reply: Future[dict[str, object]]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessAsked:
+    """Ask the core task whether a configuration is in force and the view is fresh."""
+
+    reply: Future[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class BurnAsked:
+    """Ask the core task for the counters of the burn report."""
+
+    reply: Future[dict[str, object]]
+
+
+@dataclass(frozen=True, slots=True)
+class FlowAsked:
+    """Ask the core task how it treats a flow."""
+
+    flow: FlowKey
+    reply: Future[dict[str, object] | None]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetAsked:
+    """Ask the core task how it treats a target."""
+
+    target: TargetName
+    reply: Future[dict[str, object] | None]
+
+
+CoreQuestion = PartsAsked | StatusAsked | ReadinessAsked | BurnAsked | FlowAsked | TargetAsked
+CoreMessage = EventsReceived | TickDue | CoreQuestion
+
+
+@dataclass(frozen=True, slots=True)
+class PacketsReady:
+    """Hand datagrams with their destinations to the fabric task."""
+
+    datagrams: Sequence[tuple[bytes, Endpoint]]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceHostsChanged:
+    """Tell the fabric task which packed hosts belong to services."""
+
+    hosts: frozenset[bytes]
+
+
+FabricMessage = PacketsReady | ServiceHostsChanged
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryChanged:
+    """Tell the addresses of the known entry VMs."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KeysChanged:
+    """Tell the keys that prove messages between entry VMs."""
+
+    keyring: Keyring
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSends:
+    """Hand relays and control messages to the peer task."""
+
+    sends: Sequence[SendToPeer | SendControl]
+
+
+PeerTaskMessage = PeerSends | DirectoryChanged | KeysChanged
+PeerServiceMessage = FetchParts | SendRecords | DirectoryChanged | KeysChanged
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEndpointsChanged:
+    """Tell the load task which targets this entry VM manages."""
+
+    endpoints: tuple[tuple[TargetName, Endpoint], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CountsReported:
+    """Hand counts since the last report to the admin task."""
+
+    counts: Counts
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformReached:
+    """Tell the admin task whether the platform answers."""
+
+    is_reachable: bool
+
+
+AdminMessage = CountsReported | PlatformReached
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/main.py
@@ -0,0 +1,109 @@
+"""Command line of the daemon."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import eliot
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from fuchsiaspread_configuration import Settings, load_settings
+from fuchsiaspread_core.parts import Fault
+
+from .daemon import Daemon
+from .internal.clock import now_ms
+from .internal.log import Level, Log, level_of, print_line
+
+VERSION = "0.1.0"
+EXIT_FAULT = 2
+
+
+class RunCommand(Command):
+    """Run the daemon in the foreground."""
+
+    name = "run"
+    description = "Runs an entry VM's daemon until SIGTERM; SIGHUP re-reads log level and keys."
+    options = [option("settings", "s", "Settings file of this entry VM.", flag=False)]
+
+    def handle(self) -> int:
+        """Check the settings and run."""
+        path = self.option("settings")
+        if not path:
+            return _fail(["settings: no file given; start with `run --settings FILE`"])
+        settings = read_settings(Path(path))
+        if not isinstance(settings, Settings):
+            return _fail(describe_faults(settings))
+        return asyncio.run(serve(settings, Path(path)))
+
+
+async def serve(settings: Settings, path: Path) -> int:
+    """Run a daemon until it is stopped by a signal; return the exit status."""
+    eliot.add_destinations(print_line)
+    log = Log(level_of(settings.log), now_ms)
+    try:
+        daemon = Daemon(settings, log)
+    except OSError as error:
+        return _fail([f"{path}: {error}; stop the other process or change the address"])
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, daemon.stop)
+    loop.add_signal_handler(signal.SIGINT, daemon.stop)
+    loop.add_signal_handler(signal.SIGHUP, _reload, daemon, path, log)
+    addresses = daemon.addresses
+    log.write(
+        Level.INFO,
+        "started",
+        name=settings.name,
+        fabric="{}:{}".format(*addresses.fabric),
+        peer="{}:{}".format(*addresses.peer),
+        control="{}:{}".format(*addresses.control),
+        admin="{}:{}".format(*addresses.admin),
+    )
+    is_graceful = await daemon.run()
+    log.write(Level.INFO, "stopped")
+    return 0 if is_graceful else 1
+
+
+def read_settings(path: Path) -> Settings | tuple[Fault, ...]:
+    """Return the settings in a file, or all faults found."""
+    try:
+        content = path.read_bytes()
+    except OSError as error:
+        remedy = "check the path and that the daemon may read the file"
+        return (Fault(str(path), "", error.strerror or "cannot be read", remedy),)
+    return load_settings(content, str(path))
+
+
+def describe_faults(faults: Sequence[Fault]) -> list[str]:
+    """Return one line for each fault: where, what, and what to do next."""
+    return [
+        f"{fault.file}: {fault.key + ': ' if fault.key else ''}{fault.problem}; {fault.remedy}"
+        for fault in faults
+    ]
+
+
+def _reload(daemon: Daemon, path: Path, log: Log) -> None:
+    settings = read_settings(path)
+    if isinstance(settings, Settings):
+        daemon.reload(settings)
+        return
+    for line in describe_faults(settings):
+        log.write(Level.ERROR, "settings_refused", problem=line)
+
+
+def _fail(lines: Sequence[str]) -> int:
+    print("fuchsiaspread-entry cannot start:", *lines, sep="\n  ", file=sys.stderr)
+    return EXIT_FAULT
+
+
+def main() -> int:
+    """Run the command line."""
+    application = Application("fuchsiaspread-entry", VERSION)
+    application.add(RunCommand())
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code of the messages between entry VMs."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/packets.py
@@ -0,0 +1,136 @@
+"""Decode inner IPv4 packets of the tunnel (GUE variant 1) into packet events.
+
+The payload of an event is the datagram as it came, so that sending it on needs no encoding.
+"""
+
+from enum import StrEnum
+from struct import Struct
+
+from fuchsiaspread_core.events import (
+    CallerData,
+    CallerEvent,
+    CallerOpen,
+    CallerReset,
+    PacketEvent,
+    TargetAccept,
+    TargetClose,
+    TargetData,
+    TargetEvent,
+    TargetReset,
+)
+from fuchsiaspread_core.identifiers import FlowKey
+from fuchsiaspread_core.relay import Relay, RelayCopy, RelayReply
+
+# Version and header length, total length, fragment, protocol, then the TCP header: sequence
+# number, acknowledgement, offset, flags. Addresses and ports are taken as slices.
+HEADERS = Struct("!BxHxxHxB14xIIBB")
+HEADERS_LENGTH_BYTES = 40
+IP_HEADER_LENGTH_BYTES = 20
+VERSION_4_WITHOUT_OPTIONS = 0x45
+TCP_HEADER_MIN_WORDS = 5
+TCP_PROTOCOL = 6
+# More-fragments flag and fragment offset.
+FRAGMENT_MASK = 0x3FFF
+FIN, SYN, RST, ACK = 0x01, 0x02, 0x04, 0x10
+OPENING_FLAGS_MASK = FIN | SYN | RST | ACK
+SYN_ACK = SYN | ACK
+
+
+class PacketFault(StrEnum):
+    """Name why a datagram from the tunnel is no packet of a flow."""
+
+    TRUNCATED = "truncated"
+    MALFORMED = "malformed"
+    FRAGMENTED = "fragmented"
+    NOT_TCP = "not_tcp"
+    UNKNOWN_HOST = "unknown_host"
+
+
+def decode_packet(
+    packet: bytes, source_host: str, service_hosts: frozenset[bytes]
+) -> PacketEvent | PacketFault:
+    """Decode a packet whose direction follows from the service hosts of the configuration."""
+    if packet[16:20] in service_hosts:
+        return decode_caller_packet(packet)
+    if packet[12:16] in service_hosts:
+        return decode_target_packet(packet, source_host)
+    return PacketFault.TRUNCATED if len(packet) < HEADERS_LENGTH_BYTES else PacketFault.UNKNOWN_HOST
+
+
+def decode_relayed_packet(packet: bytes, relay: Relay) -> PacketEvent | PacketFault:
+    """Decode a relayed packet; the relay tells the direction, whatever the configuration is."""
+    match relay:
+        case RelayReply() | RelayCopy():
+            return decode_target_packet(packet, "", relay)
+        case _:
+            return decode_caller_packet(packet, relay)
+
+
+def decode_caller_packet(packet: bytes, relay: Relay | None = None) -> CallerEvent | PacketFault:
+    """Decode a packet from a caller to a service address."""
+    if len(packet) < HEADERS_LENGTH_BYTES:
+        return PacketFault.TRUNCATED
+    version, total, fragment, protocol, sequence, acknowledges, offset, flags = HEADERS.unpack_from(
+        packet
+    )
+    if (
+        version != VERSION_4_WITHOUT_OPTIONS
+        or total != len(packet)
+        or fragment & FRAGMENT_MASK
+        or protocol != TCP_PROTOCOL
+        or not HEADERS_LENGTH_BYTES <= IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 <= total
+    ):
+        return _fault_of(packet)
+    # Without options the addresses and the ports stand next to each other in the key's order.
+    flow = FlowKey(packet[12:24])
+    opening = flags & OPENING_FLAGS_MASK
+    if opening == ACK or opening == ACK | FIN:
+        return CallerData(flow, acknowledges, packet, relay)
+    if opening == SYN:
+        return CallerOpen(flow, sequence, packet, relay)
+    if opening & RST and not opening & SYN:
+        return CallerReset(flow, packet, relay)
+    return PacketFault.MALFORMED
+
+
+def decode_target_packet(
+    packet: bytes, source_host: str, relay: Relay | None = None
+) -> TargetEvent | PacketFault:
+    """Decode a packet from a target to a caller; the outer sender identifies the target."""
+    if len(packet) < HEADERS_LENGTH_BYTES:
+        return PacketFault.TRUNCATED
+    version, total, fragment, protocol, sequence, acknowledges, offset, flags = HEADERS.unpack_from(
+        packet
+    )
+    if (
+        version != VERSION_4_WITHOUT_OPTIONS
+        or total != len(packet)
+        or fragment & FRAGMENT_MASK
+        or protocol != TCP_PROTOCOL
+        or not HEADERS_LENGTH_BYTES <= IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 <= total
+    ):
+        return _fault_of(packet)
+    flow = FlowKey(packet[16:20] + packet[12:16] + packet[22:24] + packet[20:22])
+    opening = flags & OPENING_FLAGS_MASK
+    if opening == ACK:
+        return TargetData(flow, source_host, packet, relay)
+    if opening == SYN_ACK:
+        return TargetAccept(flow, sequence, acknowledges, source_host, packet, relay)
+    if opening == ACK | FIN:
+        return TargetClose(flow, source_host, packet, relay)
+    if opening & RST and not opening & SYN:
+        return TargetReset(flow, source_host, packet, relay)
+    return PacketFault.MALFORMED
+
+
+def _fault_of(packet: bytes) -> PacketFault:
+    version, total, fragment, protocol, _, _, _, _ = HEADERS.unpack_from(packet)
+    if version != VERSION_4_WITHOUT_OPTIONS:
+        return PacketFault.MALFORMED
+    if total > len(packet):
+        return PacketFault.TRUNCATED
+    if fragment & FRAGMENT_MASK:
+        return PacketFault.FRAGMENTED
+    if protocol != TCP_PROTOCOL:
+        return PacketFault.NOT_TCP
+    return PacketFault.MALFORMED
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of the daemon; each owns its sockets and its state and has one mailbox."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -0,0 +1,215 @@
+"""Task that answers operators over HTTP."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Callable
+from typing import assert_never
+
+from fuchsiaspread_core.identifiers import Endpoint, TargetName
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from ..internal.flow_text import parse_flow
+from ..internal.mailboxes import Mailboxes
+from ..internal.metrics import Metrics
+from ..internal.task_messages import (
+    AdminMessage,
+    BurnAsked,
+    CoreQuestion,
+    CountsReported,
+    FlowAsked,
+    PlatformReached,
+    ReadinessAsked,
+    StatusAsked,
+    TargetAsked,
+)
+
+ANSWER_TIMEOUT_S = 2.0
+MAX_BODY_BYTES = 1024
+MAX_HEADER_BYTES = 16 * 1024
+IDLE_TIMEOUT_S = 60
+BODY_TIMEOUT_S = 5
+BACKLOG = 100
+MAX_TARGET_NAME_LENGTH = 128
+FLOW_HINT = "write it as CALLER:PORT-SERVICE:PORT, for example 10.1.0.5:40000-10.20.0.1:7001"
+QUESTION_HINT = "add ?flow=CALLER:PORT-SERVICE:PORT or ?target=NAME"
+
+Body = dict[str, object]
+
+
+class AdminTask:
+    """Own the HTTP server, the metrics and what is known of the platform."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        listen: Endpoint,
+        mailboxes: Mailboxes,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._mailbox = mailboxes.admin
+        self._name = name
+        self._core = mailboxes.core
+        self._now_ms = now_ms
+        self._is_platform_reachable = False
+        self._platform_changed_ms = now_ms()
+        self._metrics = Metrics(name, zone)
+        self._socket = socket.create_server(listen, backlog=BACKLOG)
+        self._socket.setblocking(False)
+
+    @property
+    def address(self) -> Endpoint:
+        """Return the bound address."""
+        return Endpoint(*self._socket.getsockname())
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        server = HTTPServer(
+            Application(
+                [
+                    ("/health", _HealthHandler),
+                    ("/ready", _ReadyHandler, {"task": self}),
+                    ("/status", _StatusHandler, {"task": self}),
+                    ("/explain", _ExplainHandler, {"task": self}),
+                    ("/burn", _BurnHandler, {"task": self}),
+                    ("/metrics", _MetricsHandler, {"task": self}),
+                ],
+                default_handler_class=_UnknownPathHandler,
+                log_function=_log_nothing,
+            ),
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
+        server.add_socket(self._socket)
+        try:
+            while True:
+                for message in await self._mailbox.take():
+                    self._handle(message)
+        finally:
+            server.stop()
+            await server.close_all_connections()
+            self._metrics.close()
+
+    async def ask(self, question: CoreQuestion) -> Body | bool | None:
+        """Ask the core task; None means that it did not answer in time."""
+        self._core.put(question)
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return await question.reply
+        except TimeoutError:
+            return None
+
+    async def status(self) -> Body | None:
+        """Return the body of `/status`."""
+        body = await self.ask(StatusAsked(_future()))
+        if not isinstance(body, dict):
+            return None
+        since_ms_ago = self._now_ms() - self._platform_changed_ms
+        platform = {"reachable": self._is_platform_reachable, "since_ms_ago": since_ms_ago}
+        return body | {"platform": platform}
+
+    async def burn(self) -> Body | None:
+        """Return the body of `/burn`."""
+        body = await self.ask(BurnAsked(_future()))
+        if not isinstance(body, dict):
+            return None
+        return {"name": self._name} | body
+
+    async def metrics_text(self) -> bytes:
+        """Return the metrics with the gauges as the core has them now."""
+        body = await self.ask(StatusAsked(_future()))
+        if isinstance(body, dict):
+            self._metrics.set_levels(int(str(body["flow_count"])), int(str(body["queued_count"])))
+        return self._metrics.text()
+
+    def _handle(self, message: AdminMessage) -> None:
+        match message:
+            case CountsReported(counts=counts):
+                self._metrics.add(counts)
+            case PlatformReached(is_reachable=is_reachable):
+                if is_reachable != self._is_platform_reachable:
+                    self._is_platform_reachable = is_reachable
+                    self._platform_changed_ms = self._now_ms()
+            case _:
+                assert_never(message)
+
+
+class _TaskHandler(RequestHandler):
+    def initialize(self, task: AdminTask) -> None:
+        self.task = task
+
+    def answer(self, body: Body | bool | None, status: int = 200) -> None:
+        """Write a JSON body, or 503 when the core task did not answer."""
+        self.set_header("Content-Type", "application/json")
+        if body is None:
+            status, body = 503, _problem("the daemon is busy", "ask again in a few seconds")
+        self.set_status(status)
+        self.finish(json.dumps(body))
+
+
+class _HealthHandler(RequestHandler):
+    def get(self) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps({"healthy": True}))
+
+
+class _ReadyHandler(_TaskHandler):
+    async def get(self) -> None:
+        is_ready = await self.task.ask(ReadinessAsked(_future()))
+        self.answer({"ready": bool(is_ready)}, 200 if is_ready else 503)
+
+
+class _StatusHandler(_TaskHandler):
+    async def get(self) -> None:
+        self.answer(await self.task.status())
+
+
+class _BurnHandler(_TaskHandler):
+    async def get(self) -> None:
+        self.answer(await self.task.burn())
+
+
+class _MetricsHandler(_TaskHandler):
+    async def get(self) -> None:
+        text = await self.task.metrics_text()
+        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+        self.finish(text)
+
+
+class _ExplainHandler(_TaskHandler):
+    async def get(self) -> None:
+        flow_text = self.get_query_argument("flow", "")
+        target = self.get_query_argument("target", "")
+        if flow_text:
+            flow = parse_flow(flow_text)
+            if flow is None:
+                self.answer(_problem("flow: not a pair of IPv4 addresses", FLOW_HINT), 400)
+                return
+            self.answer(await self.task.ask(FlowAsked(flow, _future())))
+        elif 0 < len(target) <= MAX_TARGET_NAME_LENGTH:
+            self.answer(await self.task.ask(TargetAsked(TargetName(target), _future())))
+        else:
+            self.answer(_problem("explain: neither flow nor target given", QUESTION_HINT), 400)
+
+
+class _UnknownPathHandler(RequestHandler):
+    def prepare(self) -> None:
+        self.set_status(404)
+        paths = "/health, /ready, /status, /explain, /burn, /metrics"
+        self.finish(json.dumps(_problem(f"no such path: {self.request.path}", f"ask for {paths}")))
+
+
+def _problem(problem: str, next_step: str) -> Body:
+    return {"problem": problem, "next_step": next_step}
+
+
+def _log_nothing(_: RequestHandler) -> None:
+    """Leave requests out of the log, which holds the daemon's events."""
+
+
+def _future() -> asyncio.Future:
+    return asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
@@ -0,0 +1,179 @@
+"""Task that owns the UDP socket for relays and control datagrams."""
+
+from collections import defaultdict
+from typing import assert_never
+
+from fuchsiaspread_core.control import ControlMessage
+from fuchsiaspread_core.effects import SendControl, SendToPeer
+from fuchsiaspread_core.events import ControlReceived, Event
+from fuchsiaspread_core.identifiers import Endpoint, EntryName
+from fuchsiaspread_core.members import Member
+
+from ..internal.authentication import Keyring, ReplayWindows
+from ..internal.counts import CountKey, Metric
+from ..internal.datagram_socket import Datagram, DatagramSocket
+from ..internal.mailboxes import Mailboxes
+from ..internal.reporting import Reporter
+from ..internal.task_messages import (
+    DirectoryChanged,
+    EventsReceived,
+    KeysChanged,
+    PeerSends,
+    PeerTaskMessage,
+)
+from ..packets import PacketFault, decode_relayed_packet
+from ..peer_codec import PeerFault, PeerMessage, RelayedPacket, decode_message, encode_message
+from .fabric_task import MAX_PACKET_BYTES, dropped
+
+# A packet of the greatest size with its header.
+MAX_DATAGRAM_BYTES = MAX_PACKET_BYTES + 2048
+# Small packets to one entry VM share a datagram up to about this size, which fits into one
+# Ethernet frame with the headers; a hash and a message for each packet cost three times as much.
+SHARED_DATAGRAM_BYTES = 1200
+
+BYTES_RECEIVED = CountKey(Metric.PEER_IO, (("direction", "receive"), ("kind", "all")))
+RELAY_BYTES_SENT = CountKey(Metric.PEER_IO, (("direction", "transmit"), ("kind", "relay")))
+CONTROL_BYTES_SENT = CountKey(Metric.PEER_IO, (("direction", "transmit"), ("kind", "control")))
+
+
+def _dropped_message(fault: PeerFault) -> CountKey:
+    return CountKey(Metric.PEER_MESSAGES_DROPPED, (("reason", str(fault)),))
+
+
+class PeerTask:
+    """Authenticate and decode peer datagrams for the core task and send its messages."""
+
+    def __init__(
+        self,
+        me: EntryName,
+        listen: Endpoint,
+        boot: int,
+        keyring: Keyring,
+        mailboxes: Mailboxes,
+    ) -> None:
+        self._mailbox = mailboxes.peer
+        self._me = me
+        self._boot = boot
+        self._sequence = 0
+        self._keyring = keyring
+        self._core = mailboxes.core
+        self._addresses: dict[EntryName, Endpoint] = {}
+        self._windows = ReplayWindows()
+        self._reporter = Reporter(mailboxes.admin)
+        self._socket = DatagramSocket(listen, MAX_DATAGRAM_BYTES, self._receive)
+
+    @property
+    def address(self) -> Endpoint:
+        """Return the bound address."""
+        return self._socket.address
+
+    async def run(self) -> None:
+        """Receive and send until cancelled."""
+        self._socket.start()
+        self._reporter.start()
+        try:
+            while True:
+                for message in await self._mailbox.take():
+                    self._handle(message)
+        finally:
+            self._reporter.stop()
+            self._socket.close()
+
+    def _handle(self, message: PeerTaskMessage) -> None:
+        match message:
+            case PeerSends(sends=sends):
+                self._send(sends)
+            case DirectoryChanged(members=members):
+                self._addresses = {member.name: member.peer for member in members}
+                self._windows.retain(frozenset(self._addresses))
+            case KeysChanged(keyring=keyring):
+                self._keyring = keyring
+            case _:
+                assert_never(message)
+
+    def _send(self, sends: list[SendToPeer | SendControl]) -> None:
+        relays: defaultdict[EntryName, list[RelayedPacket]] = defaultdict(list)
+        sizes: defaultdict[EntryName, int] = defaultdict(int)
+        for send in sends:
+            peer = send.peer
+            match send:
+                case SendToPeer(relay=relay, payload=payload):
+                    if sizes[peer] + len(payload) > SHARED_DATAGRAM_BYTES and relays[peer]:
+                        self._send_message(peer, RELAY_BYTES_SENT, tuple(relays.pop(peer)))
+                        sizes[peer] = 0
+                    relays[peer].append(RelayedPacket(relay, payload))
+                    sizes[peer] += len(payload)
+                case SendControl(message=message):
+                    self._send_message(peer, CONTROL_BYTES_SENT, (), (message,))
+                case _:
+                    assert_never(send)
+        for peer, packets in relays.items():
+            self._send_message(peer, RELAY_BYTES_SENT, tuple(packets))
+
+    def _send_message(
+        self,
+        peer: EntryName,
+        kind: CountKey,
+        packets: tuple[RelayedPacket, ...],
+        controls: tuple[ControlMessage, ...] = (),
+    ) -> None:
+        address = self._addresses.get(peer)
+        if address is None:
+            self._reporter.counts[dropped("unknown_peer")] += 1
+            return
+        self._sequence += 1
+        message = PeerMessage(self._me, peer, self._boot, self._sequence, packets, controls)
+        datagram = self._keyring.seal(encode_message(message))
+        if self._socket.send_all([(datagram, address)]):
+            self._reporter.counts[dropped("send_failed")] += 1
+        else:
+            self._reporter.counts[kind] += len(datagram)
+
+    def _receive(self, batch: list[Datagram]) -> None:
+        events: list[Event] = []
+        counts = self._reporter.counts
+        for datagram, _ in batch:
+            counts[BYTES_RECEIVED] += len(datagram)
+            message = self._open(datagram)
+            match message:
+                case PeerFault():
+                    counts[_dropped_message(message)] += 1
+                case PeerMessage():
+                    self._collect(message, events)
+                case _:
+                    assert_never(message)
+        if events and not self._core.put(EventsReceived(events)):
+            counts[dropped("overload")] += len(events)
+
+    def _open(self, datagram: bytes) -> PeerMessage | PeerFault:
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            return PeerFault.OVERSIZED
+        content = self._keyring.unseal(datagram)
+        if isinstance(content, PeerFault):
+            return content
+        message = decode_message(content)
+        if isinstance(message, PeerFault):
+            return message
+        if message.receiver != self._me:
+            return PeerFault.WRONG_RECEIVER
+        if message.sender not in self._addresses and not _introduces_itself(message):
+            return PeerFault.UNKNOWN_SENDER
+        if not self._windows.accept(message.sender, message.boot, message.sequence):
+            return PeerFault.REPLAYED
+        return message
+
+    def _collect(self, message: PeerMessage, events: list[Event]) -> None:
+        for control in message.controls:
+            events.append(ControlReceived(message.sender, control))
+        for packet in message.packets:
+            event = decode_relayed_packet(packet.payload, packet.relay)
+            if isinstance(event, PacketFault):
+                self._reporter.counts[dropped(str(event))] += 1
+            else:
+                events.append(event)
+
+
+def _introduces_itself(message: PeerMessage) -> bool:
+    # A new entry VM that the list does not name yet; the key proves that it belongs to the site.
+    members: list[Member] = [member for item in message.controls for member in item.updates]
+    return any(member.name == message.sender for member in members)
--- /dev/null
+++ b/packages/entry/tests/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon."""
--- /dev/null
+++ b/packages/entry/tests/entry/test_peer_messages.py
@@ -0,0 +1,148 @@
+"""Guard the messages between entry VMs: encoding, proof and replay."""
+
+import unittest
+
+from fuchsiaspread_core.flow_table import FlowRecord
+from fuchsiaspread_core.identifiers import EntryName
+from fuchsiaspread_core.parts import Part, PartName
+from fuchsiaspread_entry.internal.authentication import REPLAY_WINDOW, Keyring, ReplayWindows
+from fuchsiaspread_entry.internal.proof import CallProof, check_call, digest_of, sign_call
+from fuchsiaspread_entry.messages import peer_pb2
+from fuchsiaspread_entry.peer_codec import (
+    PeerFault,
+    PeerMessage,
+    decode_message,
+    decode_parts,
+    decode_records,
+    encode_message,
+    encode_parts,
+    encode_records,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .samples import MESSAGES, NEW_KEY, OLD_KEY, RECORDS
+
+PEER = EntryName("entry-2")
+PARTS = st.lists(
+    st.builds(Part, st.sampled_from(PartName), st.integers(0, 2**63), st.binary(max_size=40)),
+    max_size=2,
+).map(tuple)
+
+
+class PeerCodecTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200)
+    @given(MESSAGES)
+    def test_message_comes_back_as_it_was(self, message: PeerMessage) -> None:
+        """Guards against a field that is lost or mixed up between entry VMs."""
+        self.assertEqual(decode_message(encode_message(message)), message)
+
+    @settings(derandomize=True)
+    @given(st.lists(RECORDS, max_size=5), PARTS, PARTS)
+    def test_records_and_parts_come_back_as_they_were(
+        self, records: list[FlowRecord], in_force: tuple[Part, ...], newest: tuple[Part, ...]
+    ) -> None:
+        """Guards against a hand-over or a configuration that changes on its way."""
+        self.assertEqual(decode_records(encode_records(records, True)), tuple(records))
+        self.assertEqual(decode_parts(encode_parts(in_force, newest)), (in_force, newest))
+
+    @settings(derandomize=True, max_examples=300)
+    @given(st.binary(max_size=120), MESSAGES, st.data())
+    def test_arbitrary_and_mutated_messages_raise_nothing(
+        self, noise: bytes, message: PeerMessage, data: st.DataObject
+    ) -> None:
+        """Guards against a message of a faulty peer that ends the daemon."""
+        mutated = bytearray(encode_message(message))
+        position = data.draw(st.integers(0, len(mutated) - 1))
+        mutated[position] = data.draw(st.integers(0, 255))
+        for encoded in (noise, bytes(mutated), bytes(mutated[:position])):
+            self.assertIsInstance(decode_message(encoded), PeerMessage | PeerFault)
+
+    def test_fields_out_of_range_are_malformed(self) -> None:
+        """Guards against a phase, a key length or an index that the core has no case for."""
+        record = peer_pb2.FlowRecord(flow=b"short", target="desk-1")
+        phase = peer_pb2.FlowRecord(flow=bytes(12), target="desk-1", phase=99)
+        for bad in (record, phase):
+            request = peer_pb2.TransferRecordsRequest(records=[bad])
+            self.assertIs(decode_records(request), PeerFault.MALFORMED)
+        answer = peer_pb2.FetchPartsAnswer(newest=[peer_pb2.Part(name="other")])
+        self.assertIs(decode_parts(answer), PeerFault.MALFORMED)
+
+
+class KeyringTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(min_size=1, max_size=60), st.data())
+    def test_changed_datagram_is_not_accepted(self, message: bytes, data: st.DataObject) -> None:
+        """Guards against a proof that leaves a part of the datagram uncovered."""
+        keyring = Keyring((OLD_KEY,))
+        sealed = keyring.seal(message)
+        self.assertEqual(keyring.unseal(sealed), message)
+        changed = bytearray(sealed)
+        changed[data.draw(st.integers(0, len(sealed) - 1))] ^= data.draw(st.integers(1, 255))
+        self.assertIn(keyring.unseal(bytes(changed)), (PeerFault.BAD_TAG, PeerFault.UNKNOWN_KEY))
+
+    @settings(derandomize=True)
+    @given(st.binary(max_size=60))
+    def test_arbitrary_datagram_is_not_accepted(self, datagram: bytes) -> None:
+        """Guards against an exception or an accepted forgery."""
+        self.assertIsInstance(Keyring((OLD_KEY,)).unseal(datagram), PeerFault)
+
+    def test_rotation_accepts_both_keys_and_signs_with_the_first(self) -> None:
+        """Guards against entry VMs that lose each other while keys are replaced."""
+        before, during = Keyring((OLD_KEY,)), Keyring((NEW_KEY, OLD_KEY))
+        after = Keyring((NEW_KEY,))
+        self.assertEqual(during.unseal(before.seal(b"probe")), b"probe")
+        self.assertEqual(after.unseal(during.seal(b"probe")), b"probe")
+        self.assertIs(after.unseal(before.seal(b"probe")), PeerFault.UNKNOWN_KEY)
+
+
+class ReplayWindowsTest(unittest.TestCase):
+    @settings(derandomize=True)
+    @given(st.permutations(range(40)))
+    def test_reordered_messages_are_accepted_once(self, sequences: list[int]) -> None:
+        """Guards against replays and against drops of datagrams that overtook each other."""
+        windows = ReplayWindows()
+        first = [windows.accept(PEER, 1, number) for number in sequences]
+        second = [windows.accept(PEER, 1, number) for number in sequences]
+        self.assertEqual(first, [True] * len(sequences))
+        self.assertEqual(second, [False] * len(sequences))
+
+    def test_restarted_sender_is_accepted_and_its_former_boot_is_not(self) -> None:
+        """Guards against a restarted peer being shut out, and against replays of its past."""
+        windows = ReplayWindows()
+        self.assertTrue(windows.accept(PEER, 1, 500))
+        self.assertTrue(windows.accept(PEER, 2, 1))
+        self.assertFalse(windows.accept(PEER, 1, 501))
+
+    def test_message_behind_the_window_is_not_accepted(self) -> None:
+        """Guards against replays of messages that the window has forgotten."""
+        windows = ReplayWindows()
+        self.assertTrue(windows.accept(PEER, 1, REPLAY_WINDOW * 3))
+        self.assertTrue(windows.accept(PEER, 1, REPLAY_WINDOW * 2 + 1))
+        self.assertFalse(windows.accept(PEER, 1, REPLAY_WINDOW * 2))
+        self.assertTrue(windows.accept(PEER, 1, REPLAY_WINDOW * 9))
+        self.assertFalse(windows.accept(PEER, 1, REPLAY_WINDOW * 3))
+
+
+class CallProofTest(unittest.TestCase):
+    PROOF = CallProof(EntryName("entry-1"), PEER, 3, 4, digest_of(b"request"))
+
+    def test_proof_covers_method_and_fields(self) -> None:
+        """Guards against a proof that is moved to another call."""
+        keyring = Keyring((OLD_KEY,))
+        metadata = sign_call(keyring, "/method", self.PROOF)
+        self.assertEqual(check_call(keyring, "/method", metadata), self.PROOF)
+        self.assertIs(check_call(keyring, "/other", metadata), PeerFault.BAD_TAG)
+        for name, value in (("sender", "entry-3"), ("sequence", "5"), ("digest", "00" * 16)):
+            changed = metadata | {f"fuchsiaspread-{name}": value}
+            self.assertIs(check_call(keyring, "/method", changed), PeerFault.BAD_TAG)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.sampled_from(sorted(sign_call(Keyring((OLD_KEY,)), "/", PROOF))), st.text())
+    def test_arbitrary_metadata_raise_nothing(self, field: str, text: str) -> None:
+        """Guards against metadata from outside that raise an exception."""
+        keyring = Keyring((OLD_KEY,))
+        metadata = sign_call(keyring, "/method", self.PROOF) | {field: text}
+        self.assertIsInstance(check_call(keyring, "/method", metadata), CallProof | PeerFault)
+        metadata.pop(field)
+        self.assertIs(check_call(keyring, "/method", metadata), PeerFault.MALFORMED)
