--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from fuchsiaspread_configuration import Settings, compile_parts
-from fuchsiaspread_core.events import StopRequested
+from fuchsiaspread_core.events import Event, StopRequested
 from fuchsiaspread_core.identifiers import Endpoint
 
 from .internal.authentication import Keyring
@@ -38,6 +39,11 @@
     admin: Endpoint
 
 
+def create_log(settings: Settings) -> Log:
+    """Return a log of the settings' level; lines go to the destinations that eliot has."""
+    return Log(level_of(settings.log), now_ms)
+
+
 class Daemon:
     """Run the tasks of one entry VM until it is told to stop.
 
@@ -75,6 +81,10 @@
             self._admin.address,
         )
 
+    def hand_in(self, events: Sequence[Event]) -> bool:
+        """Hand events to the core task, as another front end does; False when it is overloaded."""
+        return self._mailboxes.core.put(EventsReceived(events))
+
     async def run(self) -> bool:
         """Run the tasks until stopped; return False when a task failed instead."""
         parts = (
@@ -88,11 +98,13 @@
         )
         tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
         stopped = asyncio.create_task(self._stopped.wait())
-        # A task that ends by an error ends the daemon: a part of it would only look alive.
-        await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        for task in (stopped, *tasks):
-            task.cancel()
-        outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            # A task that ends by an error ends the daemon: a part of it would only look alive.
+            await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (stopped, *tasks):
+                task.cancel()
+            outcomes = await asyncio.gather(*tasks, return_exceptions=True)
         failed = [outcome for outcome in outcomes if isinstance(outcome, Exception)]
         for task, outcome in zip(tasks, outcomes, strict=True):
             if isinstance(outcome, Exception):
@@ -105,7 +117,7 @@
         if self._grace_timer is not None:
             return
         self._log.write(Level.INFO, "stop_requested", grace_s=self._stop_grace_s)
-        self._mailboxes.core.put(EventsReceived([StopRequested()]))
+        self.hand_in([StopRequested()])
         loop = asyncio.get_running_loop()
         self._grace_timer = loop.call_later(self._stop_grace_s, self._end_grace)
 
--- a/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from fuchsiaspread_core.effects import FetchParts, SendControl, SendRecords, SendToPeer
-from fuchsiaspread_core.events import Event
+from fuchsiaspread_core.events import Event, PacketEvent
 from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import Part
@@ -14,9 +14,16 @@
 from .counts import Counts
 
 
+@dataclass(frozen=True, slots=True)
+class PacketsReceived:
+    """Hand a batch of packet events to the core task."""
+
+    events: Sequence[PacketEvent]
+
+
 @dataclass(frozen=True, slots=True)
 class EventsReceived:
-    """Hand a batch of events to the core task."""
+    """Hand a batch of other events to the core task."""
 
     events: Sequence[Event]
 
@@ -71,7 +78,7 @@
 
 
 CoreQuestion = PartsAsked | StatusAsked | ReadinessAsked | BurnAsked | FlowAsked | TargetAsked
-CoreMessage = EventsReceived | TickDue | CoreQuestion
+CoreMessage = PacketsReceived | EventsReceived | TickDue | CoreQuestion
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fuchsiaspread_entry/main.py
+++ b/packages/entry/src/fuchsiaspread_entry/main.py
@@ -13,9 +13,8 @@
 from fuchsiaspread_configuration import Settings, load_settings
 from fuchsiaspread_core.parts import Fault
 
-from .daemon import Daemon
-from .internal.clock import now_ms
-from .internal.log import Level, Log, level_of, print_line
+from .daemon import Daemon, create_log
+from .internal.log import Level, Log, print_line
 
 VERSION = "0.1.0"
 EXIT_FAULT = 2
@@ -42,7 +41,7 @@
 async def serve(settings: Settings, path: Path) -> int:
     """Run a daemon until it is stopped by a signal; return the exit status."""
     eliot.add_destinations(print_line)
-    log = Log(level_of(settings.log), now_ms)
+    log = create_log(settings)
     try:
         daemon = Daemon(settings, log)
     except OSError as error:
--- a/packages/entry/src/fuchsiaspread_entry/packets.py
+++ b/packages/entry/src/fuchsiaspread_entry/packets.py
@@ -27,7 +27,8 @@
 HEADERS_LENGTH_BYTES = 40
 IP_HEADER_LENGTH_BYTES = 20
 VERSION_4_WITHOUT_OPTIONS = 0x45
-TCP_HEADER_MIN_WORDS = 5
+# The upper half of the byte counts the words of the TCP header, at least 5.
+TCP_OFFSET_MIN = 0x50
 TCP_PROTOCOL = 6
 # More-fragments flag and fragment offset.
 FRAGMENT_MASK = 0x3FFF
@@ -78,7 +79,8 @@
         or total != len(packet)
         or fragment & FRAGMENT_MASK
         or protocol != TCP_PROTOCOL
-        or not HEADERS_LENGTH_BYTES <= IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 <= total
+        or offset < TCP_OFFSET_MIN
+        or IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 > total
     ):
         return _fault_of(packet)
     # Without options the addresses and the ports stand next to each other in the key's order.
@@ -107,7 +109,8 @@
         or total != len(packet)
         or fragment & FRAGMENT_MASK
         or protocol != TCP_PROTOCOL
-        or not HEADERS_LENGTH_BYTES <= IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 <= total
+        or offset < TCP_OFFSET_MIN
+        or IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 > total
     ):
         return _fault_of(packet)
     flow = FlowKey(packet[16:20] + packet[12:16] + packet[22:24] + packet[20:22])
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -19,7 +19,7 @@
     StopNow,
 )
 from fuchsiaspread_core.entry import EntryCore
-from fuchsiaspread_core.events import ControlReceived, Event, MembersPublished, Tick
+from fuchsiaspread_core.events import ControlReceived, Event, MembersPublished, PacketEvent, Tick
 from fuchsiaspread_core.identifiers import Endpoint
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.notices import ConfigurationApplied, Notice
@@ -42,6 +42,7 @@
     FlowAsked,
     LoadEndpointsChanged,
     PacketsReady,
+    PacketsReceived,
     PartsAsked,
     PeerSends,
     ReadinessAsked,
@@ -120,10 +121,13 @@
     def _handle(self, message: CoreMessage) -> None:
         now_ms = self._now_ms()
         match message:
-            case EventsReceived(events=events):
+            case PacketsReceived(events=packets):
                 if now_ms - self._last_tick_ms > LATE_TICK_MS:
                     self._tick(now_ms)
-                self._take_events(now_ms, events)
+                self._take_packets(now_ms, packets)
+            case EventsReceived(events=events):
+                for event in events:
+                    self._take_event(now_ms, event)
             case TickDue():
                 self._tick(now_ms)
             case _:
@@ -131,50 +135,59 @@
 
     def _tick(self, now_ms: int) -> None:
         self._last_tick_ms = now_ms
-        self._carry_out(now_ms, self._core.handle(now_ms, Tick()))
+        self._take_event(now_ms, Tick())
 
-    def _take_events(self, now_ms: int, events: Sequence[Event]) -> None:
-        handle, carry_out = self._core.handle, self._carry_out
-        for event in events:
+    def _take_packets(self, now_ms: int, packets: Sequence[PacketEvent]) -> None:
+        handle, carry_out, ready = self._core.handle, self._carry_out, self._packets
+        for packet in packets:
             try:
-                effects = handle(now_ms, event)
+                for effect in handle(now_ms, packet):
+                    # Most packets of open flows have this effect alone; testing for it here
+                    # saves a call and the match for each of them.
+                    if effect.__class__ is SendToTarget:
+                        ready.append((effect.payload, effect.tunnel))
+                    else:
+                        carry_out(now_ms, effect)
             except Exception as error:
                 # A fault that one packet triggers would otherwise end the entry VMs one after
                 # another, as the fabric sends the packet's retransmission to the next.
-                self._note_failure(event, error)
-                continue
-            carry_out(now_ms, effects)
-            # Packets are by far the most frequent events and carry no addresses.
-            match event:
-                case ControlReceived(message=control):
-                    if self._directory.hear(control.updates):
-                        self._tell_directory()
-                case MembersPublished(members=members):
-                    if self._directory.publish(members):
-                        self._tell_directory()
-
-    def _carry_out(self, now_ms: int, effects: list[Effect]) -> None:
-        for effect in effects:
-            match effect:
-                case SendToTarget():
-                    self._packets.append((effect.payload, effect.tunnel))
-                case SendToCaller():
-                    self._packets.append((effect.payload, self._identity.gateway))
-                case SendToPeer() | SendControl():
-                    self._sends.append(effect)
-                case Notify(notice=notice):
-                    self._note(now_ms, notice)
-                case RefuseOpen(flow=flow, caller_token=token):
-                    packet = encode_refusal(flow, token)
-                    self._packets.append((packet, self._identity.gateway))
-                case FetchParts() | SendRecords():
-                    self._mailboxes.peer_service.put(effect)
-                case StopNow():
-                    # The last packets leave before the tasks are ended.
-                    self._flush()
-                    self._on_stop()
-                case _:
-                    assert_never(effect)
+                self._note_failure(packet, error)
+
+    def _take_event(self, now_ms: int, event: Event) -> None:
+        match event:
+            case ControlReceived(message=control):
+                if self._directory.hear(control.updates):
+                    self._tell_directory()
+            case MembersPublished(members=members):
+                if self._directory.publish(members):
+                    self._tell_directory()
+        try:
+            for effect in self._core.handle(now_ms, event):
+                self._carry_out(now_ms, effect)
+        except Exception as error:
+            # A peer's message must not end this entry VM either.
+            self._note_failure(event, error)
+
+    def _carry_out(self, now_ms: int, effect: Effect) -> None:
+        match effect:
+            case SendToTarget(tunnel=tunnel, payload=payload):
+                self._packets.append((payload, tunnel))
+            case SendToCaller(payload=payload):
+                self._packets.append((payload, self._identity.gateway))
+            case SendToPeer() | SendControl():
+                self._sends.append(effect)
+            case Notify(notice=notice):
+                self._note(now_ms, notice)
+            case RefuseOpen(flow=flow, caller_token=token):
+                self._packets.append((encode_refusal(flow, token), self._identity.gateway))
+            case FetchParts() | SendRecords():
+                self._mailboxes.peer_service.put(effect)
+            case StopNow():
+                # The last packets leave before the tasks are ended.
+                self._flush()
+                self._on_stop()
+            case _:
+                assert_never(effect)
 
     def _flush(self) -> None:
         if self._packets:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/fabric_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/fabric_task.py
@@ -2,7 +2,7 @@
 
 from typing import assert_never
 
-from fuchsiaspread_core.events import Event
+from fuchsiaspread_core.events import PacketEvent
 from fuchsiaspread_core.identifiers import Endpoint
 
 from ..internal.counts import CountKey, Metric
@@ -10,9 +10,9 @@
 from ..internal.mailboxes import Mailboxes
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
-    EventsReceived,
     FabricMessage,
     PacketsReady,
+    PacketsReceived,
     ServiceHostsChanged,
 )
 from ..packets import PacketFault, decode_packet
@@ -71,7 +71,7 @@
     def _receive(self, batch: list[Datagram]) -> None:
         counts, service_hosts = self._reporter.counts, self._service_hosts
         counts[RECEIVED] += len(batch)
-        events: list[Event] = []
+        events: list[PacketEvent] = []
         for packet, sender in batch:
             event = decode_packet(packet, sender[0], service_hosts)
             # An identity test on the class is the cheapest one; a fault is a string.
@@ -81,5 +81,5 @@
                 counts[dropped("oversized")] += 1
             else:
                 events.append(event)
-        if events and not self._core.put(EventsReceived(events)):
+        if events and not self._core.put(PacketsReceived(events)):
             counts[dropped("overload")] += len(events)
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
@@ -5,7 +5,7 @@
 
 from fuchsiaspread_core.control import ControlMessage
 from fuchsiaspread_core.effects import SendControl, SendToPeer
-from fuchsiaspread_core.events import ControlReceived, Event
+from fuchsiaspread_core.events import ControlReceived, Event, PacketEvent
 from fuchsiaspread_core.identifiers import Endpoint, EntryName
 from fuchsiaspread_core.members import Member
 
@@ -18,6 +18,7 @@
     DirectoryChanged,
     EventsReceived,
     KeysChanged,
+    PacketsReceived,
     PeerSends,
     PeerTaskMessage,
 )
@@ -130,7 +131,8 @@
             self._reporter.counts[kind] += len(datagram)
 
     def _receive(self, batch: list[Datagram]) -> None:
-        events: list[Event] = []
+        packets: list[PacketEvent] = []
+        controls: list[Event] = []
         counts = self._reporter.counts
         for datagram, _ in batch:
             counts[BYTES_RECEIVED] += len(datagram)
@@ -139,11 +141,14 @@
                 case PeerFault():
                     counts[_dropped_message(message)] += 1
                 case PeerMessage():
-                    self._collect(message, events)
+                    controls += [ControlReceived(message.sender, item) for item in message.controls]
+                    self._collect(message, packets)
                 case _:
                     assert_never(message)
-        if events and not self._core.put(EventsReceived(events)):
-            counts[dropped("overload")] += len(events)
+        if controls:
+            self._core.put(EventsReceived(controls))
+        if packets and not self._core.put(PacketsReceived(packets)):
+            counts[dropped("overload")] += len(packets)
 
     def _open(self, datagram: bytes) -> PeerMessage | PeerFault:
         if len(datagram) > MAX_DATAGRAM_BYTES:
@@ -162,9 +167,7 @@
             return PeerFault.REPLAYED
         return message
 
-    def _collect(self, message: PeerMessage, events: list[Event]) -> None:
-        for control in message.controls:
-            events.append(ControlReceived(message.sender, control))
+    def _collect(self, message: PeerMessage, events: list[PacketEvent]) -> None:
         for packet in message.packets:
             event = decode_relayed_packet(packet.payload, packet.relay)
             if isinstance(event, PacketFault):
