Join the core parts and guard them on an in-memory fleet

Cause: the parts had no test together. The first runs on a fleet found that an open could travel between two entry VMs without end once one of them managed two shards of a service, and that an admission kept an open that another manager had admitted.

--- a/packages/core/src/fuchsiaspread_core/caller_path.py
+++ b/packages/core/src/fuchsiaspread_core/caller_path.py
@@ -5,7 +5,7 @@
 from .events import CallerData, CallerReset
 from .flow_table import FORWARDED_PHASES, FlowRecord, Phase, Signal
 from .identifiers import EntryName, FlowKey
-from .notices import DropReason
+from .notices import DropReason, FlowEnd
 from .open_path import OpenPath
 from .recovery import Recovery
 from .relay import (
@@ -123,8 +123,8 @@
     def _learn(self, now_ms: int, event: CallerData, record: FlowRecord | None) -> list[Effect]:
         if record is None:
             return self._recovery.send(now_ms, event.flow, event.payload)
-        self._state.store(now_ms, record)
-        return self._state.to_target(record.target, event.payload)
+        effects = self._opens.adopt(now_ms, record)
+        return effects + self._state.to_target(record.target, event.payload)
 
     def _reset_to_home(self, event: CallerReset, hops: int) -> list[Effect]:
         home = self._state.routes.home_manager(event.flow)
@@ -146,5 +146,5 @@
             self._state.table.remove(record.flow)
         else:
             self._state.table.signal(self._state.table.row(record.flow), Signal.CANCEL)
-            self._state.expiry.note_end(now_ms, record.flow)
+            effects += self._state.note_end(now_ms, record.flow, route, FlowEnd.CANCELLED)
         return effects
--- a/packages/core/src/fuchsiaspread_core/entry.py
+++ b/packages/core/src/fuchsiaspread_core/entry.py
@@ -27,12 +27,12 @@
     Tick,
 )
 from .explanation import Explanation
-from .flow_table import Phase
+from .flow_table import COUNTED_PHASES, Phase
 from .handover import Handover
 from .identifiers import EntryName, FlowKey, TargetName
 from .members import Member
-from .membership import MembersChanged, Membership, MembershipEffect, PeerRevision
-from .notices import ConfigurationApplied, ConfigurationRefused, FlowEnd
+from .membership import MembersChanged, Membership, MembershipEffect
+from .notices import ConfigurationRefused, FlowEnd
 from .open_path import OpenPath
 from .parts import Compile, Part
 from .recovery import Recovery
@@ -136,8 +136,7 @@
             case LoadReported():
                 return self._report_load(now_ms, event)
             case RecordsReceived():
-                self._handover.receive(now_ms, event)
-                return self._release_held(now_ms)
+                return self._take_records(now_ms, event)
             case StopRequested():
                 self._stop_requested_ms = now_ms
                 return self._from_membership(now_ms, event)
@@ -203,13 +202,26 @@
     def _expire(self, now_ms: int, flow: FlowKey) -> list[Effect]:
         record = self._state.table.record(flow)
         self._state.table.remove(flow)
-        self._state.pending.pop(flow, None)
+        withdrawn = self._opens.withdraw(now_ms, flow)
         route = self._state.targets.get(record.target) if record else None
         pool = self._state.pools.get(route.shard) if route else None
-        if record is None or pool is None or record.phase is Phase.CANCELLED:
+        if record is None or route is None or pool is None or record.phase is Phase.CANCELLED:
             # The slot of a cancelled request outlives its record until the target is free.
-            return []
-        return self._opens.apply(now_ms, pool.release(now_ms, flow, FlowEnd.EXPIRED))
+            return withdrawn
+        ended = withdrawn
+        if record.phase in COUNTED_PHASES:
+            ended += self._state.note_end(now_ms, flow, route, FlowEnd.EXPIRED)
+        return ended + self._opens.apply(now_ms, pool.release(now_ms, flow, FlowEnd.EXPIRED))
+
+    def _take_records(self, now_ms: int, event: RecordsReceived) -> list[Effect]:
+        effects: list[Effect] = []
+        for record in event.records:
+            # Records held here are newer than those of a transfer.
+            if self._state.table.row(record.flow) < 0:
+                effects += self._opens.adopt(now_ms, record)
+        if event.is_last:
+            self._handover.finish(event.sender)
+        return effects + self._release_held(now_ms)
 
     def _release_held(self, now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
@@ -284,7 +296,7 @@
         for shard, pool in tuple(self._state.pools.items()):
             decisions = pool.configure(now_ms, index.shards.get(shard, ()))
             effects += self._opens.apply(now_ms, decisions)
-        return [*effects, Notify(ConfigurationApplied(configuration.revision))]
+        return effects
 
     def _change_routes(self, now_ms: int, index: ServiceIndex) -> list[Effect]:
         former = self._state.routes
--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -5,11 +5,12 @@
 
 from .address_history import AddressHistory
 from .admission import ShardAdmission
+from .configuration import RequestKind
 from .effects import Effect, Notify, SendToTarget
 from .expiry import RecordExpiry
 from .flow_table import COUNTED_PHASES, FlowRecord, FlowTable
 from .identifiers import Endpoint, EntryName, FlowKey, TargetName, ZoneName
-from .notices import DropReason, PacketDropped
+from .notices import DropReason, FlowEnd, FlowEnded, FlowOpened, PacketDropped
 from .relay import ShardKey
 from .routing import ManagerRanks, RouteTable, ServiceIndex, TargetRoute
 
@@ -25,6 +26,9 @@
     caller_token: int
     shard: ShardKey
     tried: tuple[ZoneName, ...]
+    received_ms: int
+    # Hops so far; they go on counting when the open spills, so that no chain of spills loops.
+    hops: int
 
 
 @dataclass(slots=True)
@@ -40,6 +44,8 @@
     retained: deque[RouteTable] = field(default_factory=lambda: deque(maxlen=RETAINED_TABLES))
     pools: dict[ShardKey, ShardAdmission] = field(default_factory=dict)
     pending: dict[FlowKey, PendingOpen] = field(default_factory=dict)
+    # When the opens of accepted requests were received here; there are no more than slots.
+    request_starts_ms: dict[FlowKey, int] = field(default_factory=dict)
     # Targets of this and earlier configurations: a flow outlives its target's entry in the file.
     targets: dict[TargetName, TargetRoute] = field(default_factory=dict)
     tunnels: dict[TargetName, Endpoint] = field(default_factory=dict)
@@ -66,6 +72,29 @@
         if pool is not None:
             pool.adopt(now_ms, record, address.kind)
 
+    def note_accept(self, now_ms: int, flow: FlowKey, route: TargetRoute) -> list[Effect]:
+        """Report that a target accepted a flow that was opened here."""
+        pending = self.pending.pop(flow, None)
+        address = self.routes.address(flow)
+        if pending is None or address is None:
+            return []
+        if isinstance(address.kind, RequestKind):
+            self.request_starts_ms[flow] = pending.received_ms
+        waited_ms = now_ms - pending.received_ms
+        return [Notify(FlowOpened(route.shard.service, route.target.name, waited_ms))]
+
+    def note_end(
+        self, now_ms: int, flow: FlowKey, route: TargetRoute, end: FlowEnd
+    ) -> list[Effect]:
+        """Report the end of a flow and let its record expire."""
+        self.expiry.note_end(now_ms, flow)
+        started_ms = self.request_starts_ms.pop(flow, None)
+        address = self.routes.address(flow)
+        is_in_time = True
+        if started_ms is not None and address and isinstance(address.kind, RequestKind):
+            is_in_time = now_ms - started_ms <= address.kind.deadline_ms
+        return [Notify(FlowEnded(route.shard.service, route.target.name, end, is_in_time))]
+
     def to_target(self, target: TargetName, payload: bytes) -> list[Effect]:
         """Send a caller's packet to a target."""
         tunnel = self.tunnels.get(target)
@@ -87,9 +116,7 @@
             self.tunnels[name] = route.target.tunnel
 
 
-_DROPS: dict[DropReason, Notify] = {
-    reason: Notify(PacketDropped(reason)) for reason in DropReason
-}
+_DROPS: dict[DropReason, Notify] = {reason: Notify(PacketDropped(reason)) for reason in DropReason}
 
 
 def drop(reason: DropReason) -> list[Effect]:
--- a/packages/core/src/fuchsiaspread_core/explanation.py
+++ b/packages/core/src/fuchsiaspread_core/explanation.py
@@ -41,7 +41,8 @@
 
     def target_statuses(self, now_ms: int) -> tuple[TargetStatus, ...]:
         """Return the status of each target of the configuration in force."""
-        return tuple(self._status(now_ms, route) for route in self._state.routes.index.targets.values())
+        routes = self._state.routes.index.targets.values()
+        return tuple(self._status(now_ms, route) for route in routes)
 
     def flow(self, flow: FlowKey) -> FlowExplanation:
         """Return where a flow goes and why."""
--- a/packages/core/src/fuchsiaspread_core/handover.py
+++ b/packages/core/src/fuchsiaspread_core/handover.py
@@ -3,7 +3,7 @@
 from .admission import ShardAdmission
 from .effects import Effect, Notify, SendRecords, SendToPeer
 from .entry_state import EntryState, PendingOpen
-from .events import CallerOpen, RecordsReceived
+from .events import CallerOpen
 from .flow_table import COUNTED_PHASES, FlowRecord, Phase
 from .identifiers import EntryName, FlowKey
 from .notices import RecordsHandedOver
@@ -29,9 +29,9 @@
         self._warm_until: dict[ShardKey, tuple[EntryName, int]] = {}
         self._held: list[CallerOpen] = []
 
-    def change_routes(self, now_ms: int, former: RouteTable, alive: frozenset[EntryName]) -> (
-        list[Effect]
-    ):
+    def change_routes(
+        self, now_ms: int, former: RouteTable, alive: frozenset[EntryName]
+    ) -> list[Effect]:
         """Act on a new route table; `alive` are the entry VMs that still answer."""
         state = self._state
         gained: list[ShardKey] = []
@@ -71,15 +71,10 @@
         held, self._held = self._held, []
         return held
 
-    def receive(self, now_ms: int, event: RecordsReceived) -> None:
-        """Store records of a former manager; records held here are newer than a transfer."""
-        for record in event.records:
-            if self._state.table.row(record.flow) < 0:
-                self._state.store(now_ms, record)
-        if event.is_last:
-            done = [s for s, (peer, _) in self._warm_until.items() if peer == event.sender]
-            for shard in done:
-                del self._warm_until[shard]
+    def finish(self, sender: EntryName) -> None:
+        """Note that a former manager has sent all its records."""
+        for shard in [s for s, (peer, _) in self._warm_until.items() if peer == sender]:
+            del self._warm_until[shard]
 
     def _is_sender(
         self, before: tuple[EntryName, ...], after: tuple[EntryName, ...], alive: frozenset
--- a/packages/core/src/fuchsiaspread_core/open_path.py
+++ b/packages/core/src/fuchsiaspread_core/open_path.py
@@ -17,7 +17,7 @@
 from .events import CallerOpen
 from .flow_table import ENDED_PHASES, NO_TARGET, FlowRecord, Phase
 from .identifiers import FlowKey, TargetName
-from .notices import DropReason, OpenRefused, RefusalReason
+from .notices import DropReason, FlowEnd, OpenRefused, RefusalReason
 from .relay import MAX_RELAY_HOPS, RelayOpen, ShardKey
 from .routing import AddressRoute
 
@@ -63,6 +63,36 @@
             return drop(DropReason.UNKNOWN_FLOW)
         return self.apply(now_ms, pool.fail_open(now_ms, flow, OpenFailure.RESET))
 
+    def accept(self, now_ms: int, flow: FlowKey, target: TargetName) -> list[Effect]:
+        """Note that the target that was given an open has accepted it."""
+        route = self._state.targets.get(target)
+        if route is None:
+            return []
+        effects = self._state.note_accept(now_ms, flow, route)
+        pool = self._state.pools.get(route.shard)
+        if pool is not None:
+            effects += self.apply(now_ms, pool.accept(now_ms, flow))
+        return effects
+
+    def adopt(self, now_ms: int, record: FlowRecord) -> list[Effect]:
+        """Store a record learnt from elsewhere; an open that still waits here is over."""
+        former = self._state.table.record(record.flow)
+        effects: list[Effect] = []
+        if former is not None and former.target == record.target:
+            effects = self.accept(now_ms, record.flow, record.target)
+        else:
+            effects = self.withdraw(now_ms, record.flow)
+        self._state.store(now_ms, record)
+        return effects
+
+    def withdraw(self, now_ms: int, flow: FlowKey) -> list[Effect]:
+        """Take back an open that no target has accepted here."""
+        pending = self._state.pending.pop(flow, None)
+        pool = self._state.pools.get(pending.shard) if pending else None
+        if pool is None or not pool.is_managed(flow):
+            return []
+        return self.apply(now_ms, pool.release(now_ms, flow, FlowEnd.CANCELLED))
+
     def apply(self, now_ms: int, decisions: list[Decision]) -> list[Effect]:
         """Carry out the decisions of a shard's admission."""
         effects: list[Effect] = []
@@ -89,56 +119,68 @@
             return drop(DropReason.NO_MANAGER)
         if relay.hops >= MAX_RELAY_HOPS:
             return drop(DropReason.HOP_LIMIT)
-        onward = RelayOpen(
-            relay.shard, relay.tried, self._state.routes.revision, relay.hops + 1
-        )
+        onward = RelayOpen(relay.shard, relay.tried, self._state.routes.revision, relay.hops + 1)
         return [SendToPeer(manager, onward, payload)]
 
     def _decide(
         self, now_ms: int, event: CallerOpen, relay: RelayOpen, address: AddressRoute
     ) -> list[Effect]:
         record = self._state.table.record(event.flow)
-        if record is not None and not self._is_returned(record, event, relay):
-            repeated = self._repeat(now_ms, record, event, address)
-            if repeated is not None:
-                return repeated
+        effects: list[Effect] = []
+        if record is not None and not self._is_passed_on(record, event, relay):
+            if not self._is_new_incarnation(record, event, address):
+                return self._repeat(now_ms, record, event, relay)
+            effects = self.withdraw(now_ms, event.flow)
+            self._state.table.remove(event.flow)
         self._state.pending[event.flow] = PendingOpen(
-            event.payload, event.caller_token, relay.shard, relay.tried
+            event.payload, event.caller_token, relay.shard, relay.tried, now_ms, relay.hops
         )
-        return self._offer(now_ms, event.flow, address)
+        return effects + self._offer(now_ms, event.flow, address)
+
+    def _is_passed_on(self, record: FlowRecord, event: CallerOpen, relay: RelayOpen) -> bool:
+        """Return whether other shards passed this open on to a shard not yet tried here.
 
-    def _is_returned(self, record: FlowRecord, event: CallerOpen, relay: RelayOpen) -> bool:
-        """Return whether every other shard passed this open back to its home manager."""
+        One entry VM may manage several shards of a service, and the home shard is tried again
+        when all others were full.
+        """
+        pending = self._state.pending.get(event.flow)
         return (
             record.phase is Phase.SPILLED
             and record.caller_token == event.caller_token
-            and relay.shard.zone in relay.tried
+            and pending is not None
+            and pending.shard.zone in relay.tried
         )
 
+    def _is_new_incarnation(
+        self, record: FlowRecord, event: CallerOpen, address: AddressRoute
+    ) -> bool:
+        if record.caller_token == event.caller_token:
+            return False
+        route = self._state.targets.get(record.target)
+        is_moved = route is None or route.shard.service != address.service
+        return record.phase in ENDED_PHASES or is_moved
+
     def _repeat(
-        self, now_ms: int, record: FlowRecord, event: CallerOpen, address: AddressRoute
-    ) -> list[Effect] | None:
-        """Answer a repeated open from its record, or return None when it is a new one."""
-        if record.caller_token != event.caller_token:
-            route = self._state.targets.get(record.target)
-            is_moved = route is None or route.shard.service != address.service
-            if record.phase in ENDED_PHASES or is_moved or record.phase is Phase.QUEUED:
-                return self._forget(now_ms, record.flow)
-            # The target's transport answers an open on a live connection by itself.
-            return self._state.to_target(record.target, event.payload)
+        self, now_ms: int, record: FlowRecord, event: CallerOpen, relay: RelayOpen
+    ) -> list[Effect]:
+        """Answer a repeated open from its record."""
         match record.phase:
             case Phase.QUEUED:
                 return []
             case Phase.SPILLED:
-                return self._spill(now_ms, event.flow, record.caller_token)
+                return self._repeat_spill(now_ms, event.flow, relay.hops)
             case Phase.REFUSED:
                 return [RefuseOpen(event.flow, event.caller_token)]
             case _:
+                # The transport of a target answers an open on a live connection by itself.
                 return self._state.to_target(record.target, event.payload)
 
-    def _forget(self, now_ms: int, flow: FlowKey) -> None:
-        self._state.table.remove(flow)
-        self._state.pending.pop(flow, None)
+    def _repeat_spill(self, now_ms: int, flow: FlowKey, hops: int) -> list[Effect]:
+        pending = self._state.pending.get(flow)
+        if pending is None:
+            return drop(DropReason.UNKNOWN_FLOW)
+        pending.hops = hops
+        return self._spill(now_ms, flow, pending.caller_token)
 
     def _offer(self, now_ms: int, flow: FlowKey, address: AddressRoute) -> list[Effect]:
         pending = self._state.pending[flow]
@@ -191,12 +233,14 @@
         order = self._order(flow)
         shard = self._next_shard(flow, pending) or order[0]
         tried = (*pending.tried, pending.shard.zone)
-        relay = RelayOpen(shard, tried, self._state.routes.revision, 0)
+        relay = RelayOpen(shard, tried, self._state.routes.revision, pending.hops)
         if self._state.is_manager(shard):
             address = self._state.routes.address(flow)
             if address is None:
                 return drop(DropReason.UNKNOWN_SERVICE)
-            self._state.pending[flow] = PendingOpen(pending.payload, caller_token, shard, tried)
+            self._state.pending[flow] = PendingOpen(
+                pending.payload, caller_token, shard, tried, pending.received_ms, pending.hops
+            )
             return self._offer(now_ms, flow, address)
         return self._pass_on(flow, relay, pending.payload)
 
--- a/packages/core/src/fuchsiaspread_core/reply_path.py
+++ b/packages/core/src/fuchsiaspread_core/reply_path.py
@@ -92,12 +92,8 @@
         row = self._state.table.row(record.flow)
         self._state.table.signal(row, Signal.ACCEPT)
         self._state.table.target_tokens[row] = event.target_token
-        self._state.pending.pop(record.flow, None)
         effects = self._pass_copies(event, route)
-        pool = self._state.pools.get(route.shard)
-        if pool is not None:
-            effects += self._opens.apply(now_ms, pool.accept(now_ms, record.flow))
-        return effects
+        return effects + self._opens.accept(now_ms, record.flow, record.target)
 
     def _end(
         self,
@@ -110,9 +106,9 @@
         phase = self._state.table.signal(self._state.table.row(record.flow), signal)
         if phase is record.phase:
             return [SendToCaller(event.payload)]
-        self._state.expiry.note_end(now_ms, record.flow)
         route = self._state.targets[record.target]
         effects = self._pass_copies(event, route)
+        effects += self._state.note_end(now_ms, record.flow, route, end)
         pool = self._state.pools.get(route.shard)
         if pool is not None and record.phase in COUNTED_PHASES:
             effects += self._opens.apply(now_ms, pool.release(now_ms, record.flow, end))
@@ -134,10 +130,9 @@
                 record = FlowRecord(flow, target, Phase.ACCEPTED, caller_token, token)
             case _:
                 record = FlowRecord(event.flow, target, Phase.ESTABLISHED, 0, 0)
-        self._state.store(now_ms, record)
-        found: list[Effect] = []
+        found = self._opens.adopt(now_ms, record)
         if self._recovery.confirm(event.flow):
-            found = [Notify(FlowRecovered(event.flow, target))]
+            found.append(Notify(FlowRecovered(event.flow, target)))
         if isinstance(event, TargetClose):
             ended = self._end(now_ms, event, record, Signal.TARGET_CLOSE, FlowEnd.ANSWERED)
             return found + ended
@@ -168,12 +163,9 @@
 
     def _copy(self, now_ms: int, event: TargetEvent, relay: RelayCopy) -> list[Effect]:
         record = relay.record
+        effects = self._opens.adopt(now_ms, record)
         if self._recovery.confirm(record.flow):
-            effects: list[Effect] = [Notify(FlowRecovered(record.flow, record.target))]
-        else:
-            effects = []
-        self._state.store(now_ms, record)
-        self._state.pending.pop(record.flow, None)
+            effects.append(Notify(FlowRecovered(record.flow, record.target)))
         if record.phase in ENDED_PHASES:
             self._state.expiry.note_end(now_ms, record.flow)
         if relay.next_stops:
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import assert_never
 
-from fuchsiaspread_core.configuration import Configuration
+from fuchsiaspread_core.address_history import FLOW_LIFETIME_LIMIT_MS
 from fuchsiaspread_core.effects import (
     Effect,
     FetchParts,
@@ -37,7 +37,7 @@
 )
 from fuchsiaspread_core.identifiers import EntryName
 from fuchsiaspread_core.members import Member
-from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
+from fuchsiaspread_core.parts import Compile, Part, PartName
 
 from .caller import FleetCaller, FlowOutcome
 from .packet import CallerPacket, TargetPacket, to_event
@@ -45,6 +45,8 @@
 
 TICK_MS = 20
 LINK_DELAY_MS = 1
+# How long the fabric goes on to send packets to an entry VM that is leaving.
+FABRIC_LAG_MS = 700
 
 
 @dataclass(slots=True)
@@ -61,8 +63,12 @@
     """Run entry cores, targets and callers against each other."""
 
     def __init__(
-        self, compile_parts: Callable[[Part, Part], Configuration | InvalidConfiguration], seed: int
+        self,
+        compile_parts: Compile,
+        seed: int,
+        flow_lifetime_limit_ms: int = FLOW_LIFETIME_LIMIT_MS,
     ) -> None:
+        self._flow_lifetime_limit_ms = flow_lifetime_limit_ms
         self.now_ms = 0
         self.entries: dict[EntryName, FleetEntry] = {}
         self.targets: dict[str, FleetTarget] = {}
@@ -99,7 +105,8 @@
 
     def add_entry(self, member: Member, is_sprayed: bool = True) -> None:
         """Start an entry VM, which hears of the configuration and of the members."""
-        core = EntryCore(member, (), self._compile, seed=len(self.entries) + 1)
+        seed = len(self.entries) + 1
+        core = EntryCore(member, (), self._compile, seed, self._flow_lifetime_limit_ms)
         self.entries[member.name] = FleetEntry(member, core)
         if is_sprayed:
             self.sprayed.append(member.name)
@@ -120,8 +127,13 @@
         self.sprayed.remove(name)
 
     def stop_entry(self, name: EntryName) -> None:
-        """Ask an entry VM to stop gracefully."""
+        """Ask an entry VM to stop gracefully; the fabric follows a little later."""
         self._deliver(name, StopRequested())
+        self.at(FABRIC_LAG_MS, lambda: self._leave_fabric(name))
+
+    def _leave_fabric(self, name: EntryName) -> None:
+        if name in self.sprayed:
+            self.sprayed.remove(name)
 
     def freeze_entry(self, name: EntryName) -> None:
         """Pause an entry VM; what reaches it waits."""
@@ -219,8 +231,7 @@
                     self.notices[f"{type(notice).__name__}.{reason}"] += 1
             case StopNow():
                 self.entries.pop(me, None)
-                if me in self.sprayed:
-                    self.sprayed.remove(me)
+                self._leave_fabric(me)
             case _:
                 assert_never(effect)
 
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
@@ -61,7 +61,7 @@
             self.last_open_ms = now_ms
             self._next_token += 1
             # Tokens of different targets and connections must differ widely, as real ones do.
-            token = xxh32_intdigest(f"{self.name}/{self._next_token}")
+            token = xxh32_intdigest(f"{self.name}/{self._next_token}".encode())
             connection = Connection(packet.caller_token, token)
             self.connections[packet.flow] = connection
         acknowledges = (packet.caller_token + 1) % TOKEN_RANGE
--- /dev/null
+++ b/packages/standins/tests/fleet/test_entry_failures.py
@@ -0,0 +1,129 @@
+"""Guard flows against the loss, pause and partition of entry VMs."""
+
+import unittest
+
+from fuchsiaspread_core.configuration import TargetState
+from fuchsiaspread_standins.in_memory.site import (
+    INSPECTION,
+    ORDER_DESK,
+    SCREENS,
+    ZONES,
+    callers,
+    entry_member,
+)
+
+from .fleet_case import FleetCase
+
+
+def entry_name(number: int) -> str:
+    """Return the name of an entry VM."""
+    return entry_member(number).name
+
+
+class EntryFailuresTest(FleetCase):
+    def test_killed_entry_vm_breaks_no_flow(self) -> None:
+        """Guards against records that only the killed manager held."""
+        for number in (1, 2, 3, 4):
+            with self.subTest(killed=number):
+                self.site, self.fleet = self.start(seed=number)
+                self.fleet.kill_entry(entry_name(number))
+                self.fleet.run(15_000)
+                self.assert_holds()
+
+    def test_two_entry_vms_killed_at_once_break_no_flow(self) -> None:
+        """Guards against recovery that depends on the backup alone."""
+        for pair in ((1, 2), (1, 4), (2, 3)):
+            with self.subTest(killed=pair):
+                self.site, self.fleet = self.start(flow_lifetime_limit_ms=0)
+                for number in pair:
+                    self.fleet.kill_entry(entry_name(number))
+                self.fleet.run(30_000)
+                self.assert_holds()
+
+    def test_flows_are_recovered_from_the_targets_when_every_record_is_lost(self) -> None:
+        """Guards against a reset that only tells that the entry VM lost its record."""
+        self.site, self.fleet = self.start(flow_lifetime_limit_ms=0)
+        for number in (1, 2, 3, 4):
+            self.fleet.kill_entry(entry_name(number))
+        for number in (5, 6, 7, 8):
+            self.fleet.add_entry(entry_member(number))
+        self.fleet.run(30_000)
+        self.assertGreater(self.fleet.notices["FlowRecovered"], 0)
+        self.assert_holds()
+
+    def test_lost_records_of_an_address_with_unknown_history_reach_no_target(self) -> None:
+        """Guards against recovery that asks the targets of another service."""
+        for number in (1, 2, 3, 4):
+            self.fleet.kill_entry(entry_name(number))
+        moved = self.site.desk_addresses[0]
+        self.site.desk_addresses = self.site.desk_addresses[1:]
+        self.site.inspection_addresses = (*self.site.inspection_addresses, moved)
+        self.site.publish(self.fleet)
+        for number in (5, 6, 7, 8):
+            self.fleet.add_entry(entry_member(number))
+        self.fleet.run(10_000)
+        wrong = sum(target.wrong_service_packets for target in self.fleet.targets.values())
+        self.assertEqual(wrong, 0)
+        self.assertEqual(self.fleet.notices["FlowRecovered"], 0)
+
+    def test_entry_vm_killed_while_a_target_drains(self) -> None:
+        """Guards against the new manager giving work to a draining target."""
+        self.site.change_desk_target("desk-1", state=TargetState.DRAINING)
+        self.site.publish(self.fleet)
+        self.fleet.kill_entry(entry_name(1))
+        self.fleet.run(3000)
+        drained = self.fleet.targets["127.0.2.1"]
+        opens = drained.opens
+        self.fleet.run(12_000)
+        self.assertEqual(drained.opens, opens)
+        self.assert_holds()
+
+    def test_paused_entry_vm_wakes_up_with_an_old_view(self) -> None:
+        """Guards against decisions of a process that slept through a change of services."""
+        self.fleet.freeze_entry(entry_name(1))
+        self.fleet.run(2500)
+        moved = self.site.desk_addresses[0]
+        self.site.desk_addresses = self.site.desk_addresses[1:]
+        self.site.inspection_addresses = (*self.site.inspection_addresses, moved)
+        self.site.publish(self.fleet)
+        self.fleet.run(500)
+        for caller in callers(100, SCREENS, INSPECTION, True, seed=9):
+            self.fleet.add_caller(caller)
+        self.fleet.run(2000)
+        self.fleet.thaw_entry(entry_name(1))
+        self.fleet.run(10_000)
+        self.assert_holds()
+
+    def test_partition_of_a_zone_and_its_healing(self) -> None:
+        """Guards against broken or doubled flows when both sides name managers of their own."""
+        far = {m.name for m in map(entry_member, (1, 2, 3, 4)) if m.zone == ZONES[1]}
+        near = set(self.fleet.entries) - far
+        far_hosts = {t.tunnel.host for t in self.site.desk_targets if t.zone == ZONES[1]}
+        near_hosts = {t.tunnel.host for t in self.site.desk_targets if t.zone != ZONES[1]}
+        self.fleet.cut(far, near | near_hosts)
+        self.fleet.cut(near, far_hosts)
+        for caller in callers(60, SCREENS, ORDER_DESK, True, seed=9):
+            self.fleet.add_caller(caller)
+        self.fleet.run(2500)
+        self.fleet.cuts.clear()
+        self.fleet.run(15_000)
+        self.assertEqual(self.fleet.outcomes["broken"], 0)
+        self.assert_holds()
+
+    def test_configuration_reaches_entry_vms_at_different_times(self) -> None:
+        """Guards against a packet of one service reaching another while views differ."""
+        self.fleet.freeze_entry(entry_name(2))
+        moved = self.site.desk_addresses[0]
+        self.site.desk_addresses = self.site.desk_addresses[1:]
+        self.site.inspection_addresses = (*self.site.inspection_addresses, moved)
+        self.site.publish(self.fleet)
+        self.fleet.run(100)
+        self.fleet.thaw_entry(entry_name(2))
+        for caller in callers(100, SCREENS, INSPECTION, True, seed=9):
+            self.fleet.add_caller(caller)
+        self.fleet.run(10_000)
+        self.assert_holds()
+
+
+if __name__ == "__main__":
+    unittest.main()
