--- a/packages/bench/src/fuchsiaspread_bench/fleet.py
+++ b/packages/bench/src/fuchsiaspread_bench/fleet.py
@@ -10,15 +10,54 @@
 from fuchsiaspread_core.events import ControlReceived, MembersPublished, Tick
 from fuchsiaspread_core.identifiers import Endpoint, EntryName, ZoneName
 from fuchsiaspread_core.members import Member
-from fuchsiaspread_core.membership import MembersChanged, Membership, MembershipEffect
+from fuchsiaspread_core.membership import (
+    MembersChanged,
+    Membership,
+    MembershipEffect,
+    MembershipEvent,
+)
 
 TICK_MS = 50
 DELAY_MS = 1
 ZONE_COUNT = 3
 
+SizeOf = Callable[[ControlMessage], int]
+PeerRevisionHeard = Callable[[EntryName, PeerRevision], None]
+
+
+class Clock:
+    """Run actions at their times, in the order in which they were posted."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self._due: list[tuple[int, int, Callable[[], None]]] = []
+        self._posted = 0
+
+    def post(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self._posted += 1
+        heapq.heappush(self._due, (self.now_ms + delay_ms, self._posted, action))
+
+    def repeat(self, delay_ms: int, interval_ms: int, action: Callable[[], None]) -> None:
+        """Run an action again and again."""
+
+        def run() -> None:
+            self.post(interval_ms, run)
+            action()
+
+        self.post(delay_ms, run)
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.now_ms + duration_ms
+        while self._due and self._due[0][0] <= until_ms:
+            self.now_ms, _, action = heapq.heappop(self._due)
+            action()
+        self.now_ms = until_ms
+
 
 @dataclass(slots=True)
-class Traffic:
+class Work:
     """Count what one entry VM sent."""
 
     messages: int = 0
@@ -27,19 +66,14 @@
 
 @dataclass(slots=True)
 class Node:
-    """Hold one entry VM's membership and what it reported."""
+    """Hold one entry VM's membership, its view and its work."""
 
     membership: Membership
-    tick_offset_ms: int
     live: tuple[Member, ...] = ()
-    sent: Traffic = field(default_factory=Traffic)
+    work: Work = field(default_factory=Work)
     is_running: bool = True
 
 
-SizeOf = Callable[[ControlMessage], int]
-PeerRevisionHeard = Callable[[int, EntryName, PeerRevision], None]
-
-
 def make_member(number: int) -> Member:
     """Return the record of the entry VM with a number."""
     host = f"127.1.{number // 250}.{number % 250 + 1}"
@@ -48,69 +82,57 @@
     return Member(name, zone, Endpoint(host, 6081), Endpoint(host, 6082))
 
 
+def _hear_nothing(name: EntryName, stated: PeerRevision) -> None:
+    pass
+
+
 class Fleet:
-    """Run the memberships of a fleet on a virtual clock, in the order of event times."""
+    """Join the memberships of a fleet; `is_lost` decides about each message."""
 
     def __init__(
         self,
         count: int,
         seed: int,
-        size_of: SizeOf | None = None,
-        on_peer_revision: PeerRevisionHeard | None = None,
+        size_of: SizeOf,
+        on_peer_revision: PeerRevisionHeard = _hear_nothing,
     ) -> None:
-        self.now_ms = 0
-        self.members = tuple(make_member(number) for number in range(count))
-        self.nodes: dict[EntryName, Node] = {}
+        self.clock = Clock()
+        self.is_lost: Callable[[EntryName, EntryName], bool] = lambda sender, receiver: False
         self._size_of = size_of
         self._on_peer_revision = on_peer_revision
-        self._queue: list[tuple[int, int, EntryName, ControlReceived]] = []
-        self._posted = 0
-        # Pairs (sender, receiver) whose messages are lost.
-        self.cut: Callable[[EntryName, EntryName], bool] = lambda sender, receiver: False
+        self.members = tuple(make_member(number) for number in range(count))
+        self.nodes: dict[EntryName, Node] = {}
         for number, member in enumerate(self.members):
-            membership = Membership(member, (), seed * 1000 + number)
-            self.nodes[member.name] = Node(membership, (number * 37 + seed * 11) % TICK_MS)
+            self.nodes[member.name] = Node(Membership(member, (), seed * 1000 + number))
+            self._start_ticks(member.name, (number * 37 + seed * 11) % TICK_MS)
         for name in self.nodes:
             self.deliver(name, MembersPublished(self.members))
 
-    def deliver(self, name: EntryName, event: MembersPublished | ControlReceived | Tick) -> None:
+    def deliver(self, name: EntryName, event: MembershipEvent) -> None:
         """Hand an event to an entry VM now, and carry out what follows."""
         node = self.nodes[name]
-        if node.is_running:
-            self._carry_out(name, node, node.membership.handle(self.now_ms, event))
-
-    def run(self, duration_ms: int) -> None:
-        """Let time pass."""
-        until_ms = self.now_ms + duration_ms
-        while self.now_ms < until_ms:
-            for name, node in self.nodes.items():
-                if (self.now_ms - node.tick_offset_ms) % TICK_MS == 0:
-                    self.deliver(name, Tick())
-            while self._queue and self._queue[0][0] <= self.now_ms:
-                _, _, receiver, event = heapq.heappop(self._queue)
-                self.deliver(receiver, event)
-            self.now_ms += 1
-
-    def _carry_out(self, name: EntryName, node: Node, effects: list[MembershipEffect]) -> None:
+        if not node.is_running:
+            return
+        effects = node.membership.handle(self.clock.now_ms, event)
         for effect in effects:
-            match effect:
-                case SendControl(peer=peer, message=message):
-                    self._send(name, node, peer, message)
-                case MembersChanged(live=live):
-                    node.live = live
-                case PeerRevision():
-                    if self._on_peer_revision is not None:
-                        self._on_peer_revision(self.now_ms, name, effect)
-                case Notify():
-                    pass
-                case _:
-                    assert_never(effect)
-
-    def _send(self, name: EntryName, node: Node, peer: EntryName, message: ControlMessage) -> None:
-        node.sent.messages += 1
-        if self._size_of is not None:
-            node.sent.bytes += self._size_of(message)
-        if peer in self.nodes and not self.cut(name, peer):
-            self._posted += 1
-            event = ControlReceived(name, message)
-            heapq.heappush(self._queue, (self.now_ms + DELAY_MS, self._posted, peer, event))
+            self._carry_out(name, node, effect)
+
+    def _start_ticks(self, name: EntryName, offset_ms: int) -> None:
+        self.clock.repeat(offset_ms, TICK_MS, lambda: self.deliver(name, Tick()))
+
+    def _carry_out(self, name: EntryName, node: Node, effect: MembershipEffect) -> None:
+        match effect:
+            case SendControl(peer=peer, message=message):
+                node.work.messages += 1
+                node.work.bytes += self._size_of(message)
+                if peer in self.nodes and not self.is_lost(name, peer):
+                    received = ControlReceived(name, message)
+                    self.clock.post(DELAY_MS, lambda: self.deliver(peer, received))
+            case MembersChanged(live=live):
+                node.live = live
+            case PeerRevision():
+                self._on_peer_revision(name, effect)
+            case Notify():
+                pass
+            case _:
+                assert_never(effect)
