Add the operators' command line

Cause: operators need to check files before a publish and to read the state of the whole fleet from one place. Change: fuchsiaspread check, show, diff, status, explain, burn and schema. Gathering, decisions and printing are apart; entry VMs are asked concurrently, and a report is printed with what answered.

--- a/packages/configuration/src/fuchsiaspread_configuration/internal/merging.py
+++ b/packages/configuration/src/fuchsiaspread_configuration/internal/merging.py
@@ -100,6 +100,9 @@
             elif key not in overlay:
                 if base[key] is not None:
                     result[key] = self._taken(base[key], self._base_file, below)
+            elif key == "name" and base[key] == overlay[key]:
+                # The overlay only repeats the name to say which item it changes.
+                result[key] = self._taken(base[key], self._base_file, below)
             else:
                 result[key] = self.value(base[key], overlay[key], below)
         return result
--- a/packages/configuration/src/fuchsiaspread_configuration/internal/values.py
+++ b/packages/configuration/src/fuchsiaspread_configuration/internal/values.py
@@ -44,6 +44,14 @@
     return Endpoint(host, int(port))
 
 
+def parse_endpoint_text(text: str) -> Endpoint | None:
+    """Return the endpoint that a text names, or None when it names none."""
+    try:
+        return parse_endpoint(text.strip())
+    except PydanticCustomError:
+        return None
+
+
 Name = Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
 EndpointText = Annotated[
     Endpoint,
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the command line outside its public interface."""
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: each gathers, decides and prints."""
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
@@ -0,0 +1,252 @@
+"""Commands that read configuration files."""
+
+import asyncio
+from dataclasses import dataclass
+
+from cleo.helpers import argument, option
+from fuchsiaspread_configuration import (
+    base_schema,
+    overlay_schema,
+    parse_endpoint_text,
+    settings_schema,
+)
+from fuchsiaspread_core.parts import Fault
+
+from ..decide.changes import Comparison, compare_sites
+from ..decide.checking import (
+    CheckedFiles,
+    SiteValues,
+    base_part,
+    check_files,
+    merged_values,
+    overlay_part,
+    site_values,
+)
+from ..decide.publication import InForce, first_problem, published
+from ..exit_codes import ExitCode
+from ..gather.files import read_fleet
+from ..gather.platform import read_keys
+from ..inputs import BASE_KEY, SITES_KEY, FleetFiles, Published
+from ..outcomes import Unreachable, Unusable, UsageProblem
+from ..printing.data import to_json
+from ..printing.reports import comparison_text, values_text
+from ..printing.text import fault_lines, sections
+from .base import (
+    FORMAT_OPTION,
+    PLATFORM_OPTION,
+    SITE_OPTION,
+    TIMEOUT_OPTION,
+    ReportCommand,
+    help_text,
+)
+
+FILES_ARGUMENT = argument(
+    "files",
+    "Directory with base.yaml and sites/, or a base file and its overlays.",
+    multiple=True,
+)
+SCHEMAS = {"base": base_schema, "overlay": overlay_schema, "settings": settings_schema}
+
+
+@dataclass(frozen=True, slots=True)
+class CheckReport:
+    """Hold the result of a check; `comparison` is there when something to compare was given."""
+
+    sites: tuple[str, ...]
+    faults: tuple[Fault, ...]
+    comparison: Comparison | None
+
+
+class CheckCommand(ReportCommand):
+    """Check files, and show what they change."""
+
+    name = "check"
+    description = "Check files, and show what they would change."
+    arguments = [FILES_ARGUMENT]
+    options = [
+        option("against", None, "Directory with the files that are in force.", flag=False),
+        PLATFORM_OPTION,
+        SITE_OPTION,
+        TIMEOUT_OPTION,
+        option("strict", None, "Report warnings with exit code 1."),
+        FORMAT_OPTION,
+    ]
+    help = help_text(
+        "Checks base file, overlays, members list and entry VM settings. With --against or\n"
+        "--platform it also shows what changes against what is published, and warns of changes\n"
+        "that are valid but may do harm. Run it before each publish.",
+        "check examples/empresa",
+        "check new/ --against old/",
+        "check new/ --platform 127.1.0.11:8500",
+        "check base.yaml sites/occidente.yaml",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Check the files and compare them if asked to."""
+        files = read_fleet(tuple(self.argument("files")))
+        if isinstance(files, Unusable):
+            return self.fail(files)
+        checked = check_files(files, self.option("site"))
+        if isinstance(checked, UsageProblem):
+            return self.fail(checked)
+        comparison = None
+        if self.option("against") is not None or self.option("platform") is not None:
+            in_force = self._in_force(tuple(checked.configurations))
+            if not isinstance(in_force, InForce):
+                return self.fail(in_force)
+            comparison = self._compared(in_force, checked)
+        report = CheckReport(tuple(checked.configurations), checked.faults, comparison)
+        self.emit(report, check_text)
+        has_warnings = comparison is not None and bool(comparison.warnings)
+        is_bad = bool(checked.faults) or (self.option("strict") and has_warnings)
+        return ExitCode.FINDINGS if is_bad else ExitCode.DONE
+
+    def _compared(self, in_force: InForce, checked: CheckedFiles) -> Comparison:
+        before, after = in_force.configurations, checked.configurations
+        if checked.faults:
+            # A site with faults has no new configuration; that is no removal.
+            before = {site: value for site, value in before.items() if site in after}
+        return compare_sites(before, after)
+
+    def _in_force(self, sites: tuple[str, ...]) -> InForce | UsageProblem | Unusable | Unreachable:
+        against, platform = self.option("against"), self.option("platform")
+        if against is not None and platform is not None:
+            return UsageProblem("--against and --platform are both given", "give one of them")
+        if against is not None:
+            return configurations_of(against, self.option("site"))
+        address, timeout_s = parse_endpoint_text(platform), self.timeout_s()
+        if address is None:
+            return UsageProblem(f"--platform {platform} is no address", "write HOST:PORT")
+        if isinstance(timeout_s, UsageProblem):
+            return timeout_s
+        keys = (BASE_KEY, *(SITES_KEY + site for site in sites))
+        return published(asyncio.run(read_keys(address, keys, timeout_s)))
+
+
+class DiffCommand(ReportCommand):
+    """Compare two sets of files."""
+
+    name = "diff"
+    description = "Show what changes between two directories."
+    arguments = [
+        argument("old", "Directory with the files as they are."),
+        argument("new", "Directory with the files as they will be."),
+    ]
+    options = [SITE_OPTION, FORMAT_OPTION]
+    help = help_text(
+        "Compares the merged values of two directories, site by site, so that moving a value\n"
+        "from an overlay to the base file shows no change. Exit code 1 means a difference.",
+        "diff old/ new/ --site occidente",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Compare the two directories."""
+        sides = [configurations_of(self.argument(s), self.option("site")) for s in ("old", "new")]
+        for side in sides:
+            if not isinstance(side, InForce):
+                return self.fail(side)
+        before, after = (side.configurations for side in sides if isinstance(side, InForce))
+        comparison = compare_sites(before, after)
+        self.emit(comparison, comparison_text)
+        return ExitCode.FINDINGS if comparison.changes else ExitCode.DONE
+
+
+class ShowCommand(ReportCommand):
+    """Show the merged values of a site."""
+
+    name = "show"
+    description = "Show the merged values of a site, and where each comes from."
+    arguments = [argument("files", FILES_ARGUMENT.description, optional=True, multiple=True)]
+    options = [SITE_OPTION, PLATFORM_OPTION, TIMEOUT_OPTION, FORMAT_OPTION]
+    help = help_text(
+        "Prints every value of a site with its origin: base, overlay or default. Reads files, or\n"
+        "what is published when --platform and --site are given.",
+        "show examples/empresa --site occidente",
+        "show --platform 127.1.0.11:8500 --site occidente",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Merge and print."""
+        values = self._values()
+        if not isinstance(values, SiteValues):
+            return self.fail(values)
+        self.emit(values, values_text)
+        return ExitCode.DONE
+
+    def _values(self) -> SiteValues | UsageProblem | Unusable | Unreachable:
+        paths, platform = tuple(self.argument("files") or ()), self.option("platform")
+        if bool(paths) == (platform is not None):
+            return UsageProblem("give either files or --platform", "write show DIRECTORY")
+        if platform is not None:
+            return self._published_values(platform)
+        files = read_fleet(paths)
+        return files if isinstance(files, Unusable) else site_values(files, self.option("site"))
+
+    def _published_values(
+        self, platform: str
+    ) -> SiteValues | UsageProblem | Unusable | Unreachable:
+        site, address, timeout_s = (
+            self.option("site"),
+            parse_endpoint_text(platform),
+            self.timeout_s(),
+        )
+        if address is None:
+            return UsageProblem(f"--platform {platform} is no address", "write HOST:PORT")
+        if not site:
+            return UsageProblem("--platform needs a site", "add --site SITE")
+        if isinstance(timeout_s, UsageProblem):
+            return timeout_s
+        read = asyncio.run(read_keys(address, (BASE_KEY, SITES_KEY + site), timeout_s))
+        base, overlay = read
+        if isinstance(base, Published) and isinstance(overlay, Published):
+            parts = base_part(base.content, base.index), overlay_part(
+                overlay.content, overlay.index
+            )
+            return merged_values(*parts).named(base.key, overlay.key, site)
+        return first_problem(read)
+
+
+class SchemaCommand(ReportCommand):
+    """Print the JSON Schema of a kind of file."""
+
+    name = "schema"
+    description = "Print the JSON Schema of base file, overlay or settings."
+    arguments = [argument("kind", "base, overlay or settings")]
+    options = [FORMAT_OPTION]
+    help = help_text("Prints a JSON Schema that editors can check files with.", "schema overlay")
+
+    def run_command(self) -> ExitCode:
+        """Print the schema."""
+        schema = SCHEMAS.get(self.argument("kind"))
+        if schema is None:
+            problem = f"there is no schema of {self.argument('kind')}"
+            return self.fail(UsageProblem(problem, f"write one of {', '.join(SCHEMAS)}"))
+        self.emit_schema(schema())
+        return ExitCode.DONE
+
+    def emit_schema(self, schema: dict[str, object]) -> None:
+        """Print a schema, which is JSON in both formats."""
+        self.emit(schema, to_json)
+
+
+def check_text(report: CheckReport) -> str:
+    """Return the result of a check."""
+    if report.faults:
+        summary = f"{len(report.faults)} faults; nothing of this may be published"
+    else:
+        summary = f"no fault; sites: {', '.join(report.sites)}"
+    compared = comparison_text(report.comparison) if report.comparison is not None else ""
+    return sections(("Faults", fault_lines(report.faults)), ("", compared), ("", summary))
+
+
+def configurations_of(directory: str, site: str | None) -> InForce | UsageProblem | Unusable:
+    """Return the configurations in a directory, which must be free of faults."""
+    files = read_fleet((directory,))
+    if isinstance(files, Unusable):
+        return files
+    checked = check_files(FleetFiles(files.base, files.overlays), site)
+    if isinstance(checked, UsageProblem):
+        return checked
+    if checked.faults:
+        return Unusable(checked.faults)
+    return InForce(checked.configurations)
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/fleet_commands.py
@@ -0,0 +1,180 @@
+"""Commands that ask the entry VMs of a fleet."""
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+from typing import assert_never
+
+from cleo.helpers import argument, option
+
+from ..decide.answers import (
+    BurnAnswer,
+    FlowAnswer,
+    Missing,
+    StatusAnswer,
+    TargetExplanationAnswer,
+    parse_replies,
+)
+from ..decide.budget import burn_report
+from ..decide.explanation import (
+    FlowExplanation,
+    FlowSubject,
+    Subject,
+    TargetExplanation,
+    TargetSubject,
+    explain_flow,
+    explain_target,
+    parse_subject,
+)
+from ..decide.fleet import fleet_status
+from ..exit_codes import ExitCode, of_replies
+from ..gather.entries import Source, ask, find_entries
+from ..inputs import Reply
+from ..outcomes import Unreachable, Unusable, UsageProblem
+from ..printing.plot import burn_page
+from ..printing.reports import burn_text, flow_text, status_text, target_text
+from .base import Problem, ReportCommand, fleet_options, help_text
+
+
+@dataclass(frozen=True, slots=True)
+class Replies:
+    """Hold the replies of all entry VMs of a fleet."""
+
+    replies: tuple[Reply, ...]
+
+
+async def ask_fleet(
+    source: Source, path: str, timeout_s: float
+) -> Replies | Unusable | Unreachable:
+    """Find the entry VMs and ask each of them concurrently."""
+    entries = await find_entries(source, timeout_s)
+    if isinstance(entries, Unusable | Unreachable):
+        return entries
+    return Replies(await ask(entries, path, timeout_s))
+
+
+class FleetCommand(ReportCommand):
+    """Ask every entry VM the same question."""
+
+    def gather(self, path: str) -> Replies | Problem:
+        """Return the replies of all entry VMs, or why none could be asked."""
+        source, timeout_s = self.source(), self.timeout_s()
+        if isinstance(source, UsageProblem):
+            return source
+        if isinstance(timeout_s, UsageProblem):
+            return timeout_s
+        return asyncio.run(ask_fleet(source, path, timeout_s))
+
+
+class StatusCommand(FleetCommand):
+    """Show the state of a fleet."""
+
+    name = "status"
+    description = "Show entry VMs, targets, and what needs attention."
+    options = fleet_options()
+    help = help_text(
+        "Asks every entry VM for its state and puts the answers together: revisions, targets,\n"
+        "refused files, stale views, signs of a partition.",
+        "status --members members.json",
+        "status --platform 127.1.0.11:8500 --site occidente",
+        "status --entries 127.1.1.1:6083,127.1.1.2:6083",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Ask and print."""
+        gathered = self.gather("/status")
+        if not isinstance(gathered, Replies):
+            return self.fail(gathered)
+        answers, missing = parse_replies(gathered.replies, StatusAnswer)
+        status = fleet_status(list(answers.values()), missing)
+        self.emit(status, status_text)
+        return of_replies(len(answers), len(missing), bool(status.findings))
+
+
+class ExplainCommand(FleetCommand):
+    """Explain a flow or a target."""
+
+    name = "explain"
+    description = "Explain where a flow goes, or the state of a target."
+    arguments = [argument("subject", "A target's name, or a flow: CALLER:PORT-SERVICE:PORT.")]
+    options = fleet_options()
+    help = help_text(
+        "Asks every entry VM what it knows of a flow or a target, and names disagreements.",
+        "explain desk-1 --members members.json",
+        "explain 10.30.0.5:40000-10.20.0.1:7001 --members members.json",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Ask and print."""
+        subject = parse_subject(self.argument("subject"))
+        if isinstance(subject, UsageProblem):
+            return self.fail(subject)
+        gathered = self.gather(subject.path)
+        if not isinstance(gathered, Replies):
+            return self.fail(gathered)
+        explanation, answered_count = self._explained(subject, gathered.replies)
+        match explanation:
+            case FlowExplanation():
+                self.emit(explanation, flow_text)
+            case TargetExplanation():
+                self.emit(explanation, target_text)
+            case _:
+                assert_never(explanation)
+        return of_replies(answered_count, len(explanation.missing), not explanation.is_known)
+
+    def _explained(
+        self, subject: Subject, replies: tuple[Reply, ...]
+    ) -> tuple[FlowExplanation | TargetExplanation, int]:
+        missing: tuple[Missing, ...]
+        match subject:
+            case FlowSubject():
+                flows, missing = parse_replies(replies, FlowAnswer)
+                return explain_flow(subject, flows, missing), len(flows)
+            case TargetSubject():
+                targets, missing = parse_replies(replies, TargetExplanationAnswer)
+                return explain_target(subject, targets, missing), len(targets)
+            case _:
+                assert_never(subject)
+
+
+class BurnCommand(FleetCommand):
+    """Show the use of the error budgets."""
+
+    name = "burn"
+    description = "Show how fast the error budgets are used up."
+    options = [
+        *fleet_options(),
+        option("html", None, "Also write a page with a plot to this file.", flag=False),
+    ]
+    help = help_text(
+        "Adds up the counters of all entry VMs: the share of each error budget that is gone in\n"
+        "5 min, 1 h, 6 h and the whole period, whether it burns fast or slowly, and which zone\n"
+        "and target contributed most. An entry VM that was replaced has lost its history.",
+        "burn --members members.json",
+        "burn --members members.json --html burn.html",
+    )
+
+    def run_command(self) -> ExitCode:
+        """Ask, add up and print."""
+        gathered = self.gather("/burn")
+        if not isinstance(gathered, Replies):
+            return self.fail(gathered)
+        answers, missing = parse_replies(gathered.replies, BurnAnswer)
+        report = burn_report(list(answers.values()), missing)
+        self.emit(report, burn_text)
+        page = self.option("html")
+        if page is not None:
+            problem = write_page(Path(page), burn_page(report))
+            if problem is not None:
+                return self.fail(problem)
+        return of_replies(len(answers), len(missing), report.has_alert)
+
+
+def write_page(path: Path, page: str) -> UsageProblem | None:
+    """Write a page; return why that was not possible."""
+    try:
+        path.write_text(page, encoding="utf-8")
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        return UsageProblem(f"--html {path}: cannot be written: {reason}", "give another file")
+    return None
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions from what was gathered to reports."""
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/checking.py
@@ -0,0 +1,183 @@
+"""Checks of a user's files."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from typing import assert_never
+
+from fuchsiaspread_configuration import (
+    InvalidMembers,
+    InvalidParts,
+    MemberEntry,
+    MembersList,
+    Merged,
+    OriginatedValue,
+    Settings,
+    compile_parts,
+    load_settings,
+    merge_parts,
+    originated_values,
+    parse_members,
+    validate,
+)
+from fuchsiaspread_core.configuration import Configuration
+from fuchsiaspread_core.parts import Fault, InvalidConfiguration, Part, PartName
+
+from ..inputs import SITES_NAME, FileContent, FleetFiles
+from ..outcomes import Unusable, UsageProblem
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedFiles:
+    """Hold the valid configurations by site and the faults of all files."""
+
+    configurations: dict[str, Configuration]
+    faults: tuple[Fault, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SiteValues:
+    """Hold the values in force for one site with their origins."""
+
+    site: str
+    values: tuple[OriginatedValue, ...]
+
+
+def base_part(content: bytes, index: int = 1) -> Part:
+    """Return the content of a base file as a part."""
+    return Part(PartName.BASE, index, content)
+
+
+def overlay_part(content: bytes, index: int = 1) -> Part:
+    """Return the content of an overlay as a part."""
+    return Part(PartName.OVERLAY, index, content)
+
+
+def named(faults: Iterable[Fault], base_file: str, overlay_file: str) -> tuple[Fault, ...]:
+    """Return faults with the names of the parts replaced by the paths of the files."""
+    names = {PartName.BASE.value: base_file, PartName.OVERLAY.value: overlay_file}
+    return tuple(replace(fault, file=names.get(fault.file, fault.file)) for fault in faults)
+
+
+def check_files(files: FleetFiles, site: str | None = None) -> CheckedFiles | UsageProblem:
+    """Compile every site, or one, and check the other files against it."""
+    overlays = [overlay for overlay in files.overlays if site in (None, overlay.stem)]
+    if site is not None and not overlays:
+        known = ", ".join(overlay.stem for overlay in files.overlays) or "none"
+        return UsageProblem(f"there is no overlay of the site {site}", f"known sites: {known}")
+    faults = [*_sites_without_overlay(files)] if site is None else []
+    configurations: dict[str, Configuration] = {}
+    for overlay in overlays:
+        outcome = compile_parts(base_part(files.base.content), overlay_part(overlay.content))
+        match outcome:
+            case Configuration():
+                configurations[overlay.stem] = outcome
+                faults += _misnamed_site(outcome, overlay)
+            case InvalidConfiguration(faults=found):
+                faults += named(found, files.base.path, overlay.path)
+            case _:
+                assert_never(outcome)
+    faults += _members_and_settings(files, [overlay.stem for overlay in files.overlays])
+    return CheckedFiles(configurations, tuple(dict.fromkeys(faults)))
+
+
+def site_values(files: FleetFiles, site: str | None) -> SiteValues | Unusable | UsageProblem:
+    """Return the merged values of one site."""
+    chosen = [overlay for overlay in files.overlays if site in (None, overlay.stem)]
+    if len(chosen) != 1:
+        known = ", ".join(overlay.stem for overlay in files.overlays) or "none"
+        return UsageProblem("one site must be named", f"add --site SITE; known sites: {known}")
+    (overlay,) = chosen
+    return merged_values(base_part(files.base.content), overlay_part(overlay.content)).named(
+        files.base.path, overlay.path, overlay.stem
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class MergedValues:
+    """Hold merged values or faults, before the parts have the names of files."""
+
+    outcome: tuple[OriginatedValue, ...] | InvalidParts
+
+    def named(self, base_file: str, overlay_file: str, site: str) -> SiteValues | Unusable:
+        """Return the values, or the faults with the names of the files."""
+        match self.outcome:
+            case InvalidParts(faults=faults):
+                return Unusable(named(faults, base_file, overlay_file))
+            case values:
+                return SiteValues(site, values)
+
+
+def merged_values(base: Part, overlay: Part) -> MergedValues:
+    """Merge and validate two parts."""
+    merged = merge_parts(base, overlay)
+    if not isinstance(merged, Merged):
+        return MergedValues(merged)
+    model = validate(merged)
+    if isinstance(model, InvalidParts):
+        return MergedValues(model)
+    return MergedValues(originated_values(merged, model))
+
+
+def _sites_without_overlay(files: FleetFiles) -> list[Fault]:
+    merged = merge_parts(base_part(files.base.content), overlay_part(b""))
+    listed = merged.tree.get("sites") if isinstance(merged, Merged) else None
+    listed = [site for site in listed if isinstance(site, str)] if isinstance(listed, list) else []
+    present = {overlay.stem for overlay in files.overlays}
+    faults = []
+    for site in listed:
+        if site not in present:
+            problem = f"the site {site} has no overlay"
+            remedy = f"add {SITES_NAME}/{site}.yaml; it may hold only the line site: {site}"
+            faults.append(Fault(files.base.path, "sites", problem, remedy))
+    if not present and not listed:
+        problem = "there is no overlay, so no site gets a configuration"
+        remedy = f"add {SITES_NAME}/SITE.yaml; it may hold only the line site: SITE"
+        faults.append(Fault(files.base.path, "", problem, remedy))
+    return faults
+
+
+def _misnamed_site(configuration: Configuration, overlay: FileContent) -> list[Fault]:
+    if configuration.site in ("", overlay.stem):
+        return []
+    problem = f"the overlay says site: {configuration.site}, but its file is that of {overlay.stem}"
+    return [Fault(overlay.path, "site", problem, "rename the file or correct the site")]
+
+
+def _members_and_settings(files: FleetFiles, sites: list[str]) -> list[Fault]:
+    faults: list[Fault] = []
+    entries: dict[str, MemberEntry] | None = None
+    if files.members is not None:
+        outcome = parse_members(files.members.content, files.members.path)
+        match outcome:
+            case MembersList(entries=found):
+                entries = {entry.name: entry for entry in found}
+            case InvalidMembers(faults=found_faults):
+                faults += found_faults
+            case _:
+                assert_never(outcome)
+    for file in files.settings:
+        settings = load_settings(file.content, file.path)
+        if not isinstance(settings, Settings):
+            faults += settings
+            continue
+        faults += _settings_faults(settings, file.path, sites, entries)
+    return faults
+
+
+def _settings_faults(
+    settings: Settings, path: str, sites: list[str], entries: dict[str, MemberEntry] | None
+) -> list[Fault]:
+    faults = []
+    if settings.site not in sites:
+        remedy = "correct the site, or add its overlay"
+        faults.append(Fault(path, "site", f"the site {settings.site} has no overlay", remedy))
+    entry = (entries or {}).get(settings.name)
+    if entries is not None and entry is None:
+        remedy = "correct the name; the platform's list must name each entry VM"
+        problem = f"{settings.name} is not in the list of members"
+        faults.append(Fault(path, "name", problem, remedy))
+    for key in ("zone", "peer", "control", "admin") if entry is not None else ():
+        if getattr(settings, key) != getattr(entry, key):
+            problem = f"{key} differs from the list of members"
+            faults.append(Fault(path, key, problem, "make the two agree"))
+    return faults
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/gather/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of files, platform and entry VMs; no decisions."""
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/gather/http.py
@@ -0,0 +1,84 @@
+"""Concurrent HTTP reads with a timeout each."""
+
+import asyncio
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fuchsiaspread_core.identifiers import Endpoint
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+
+from ..inputs import Answered, NotAnswered, Rejected, Reply
+
+MAX_BODY_BYTES = 16_000_000
+# Sockets in use at one time; a larger fleet is read in batches of this size.
+MAX_CONCURRENT = 256
+MAX_REASON_CHARACTERS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """Name whom to ask; `label` is how reports call the one asked."""
+
+    label: str
+    address: Endpoint
+    path: str
+
+
+async def read_all(queries: Sequence[Query], timeout_s: float) -> tuple[Reply, ...]:
+    """Ask all concurrently and return their replies in the order of the queries."""
+    client = AsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CONCURRENT, max_body_size=MAX_BODY_BYTES
+    )
+    replies: list[Reply] = []
+    try:
+        for start in range(0, len(queries), MAX_CONCURRENT):
+            batch = queries[start : start + MAX_CONCURRENT]
+            replies += await asyncio.gather(*(_read(client, query, timeout_s) for query in batch))
+    finally:
+        client.close()
+    return tuple(replies)
+
+
+async def _read(client: AsyncHTTPClient, query: Query, timeout_s: float) -> Reply:
+    request = HTTPRequest(
+        f"http://{query.address.host}:{query.address.port}{query.path}",
+        connect_timeout=timeout_s,
+        request_timeout=timeout_s,
+        follow_redirects=False,
+    )
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except HTTPTimeoutError:
+        return NotAnswered(query.label, f"no answer within {timeout_s:g} s")
+    except (HTTPStreamClosedError, HTTPClientError, OSError, ValueError) as error:
+        return NotAnswered(query.label, _plain_reason(error))
+    if response.code == 200:
+        return Answered(query.label, response.body)
+    if response.code == 599:
+        return NotAnswered(query.label, _plain_reason(response.error))
+    return Rejected(query.label, response.code, _stated_reason(response))
+
+
+def _plain_reason(error: BaseException | None) -> str:
+    match error:
+        case HTTPTimeoutError():
+            return "no answer in time"
+        case ConnectionRefusedError():
+            return "connection refused"
+        case OSError() if error.strerror:
+            return error.strerror.lower()
+        case _:
+            return (str(error) or "the connection was closed")[:MAX_REASON_CHARACTERS]
+
+
+def _stated_reason(response: HTTPResponse) -> str:
+    try:
+        body = json.loads(response.body)
+    except (ValueError, RecursionError):
+        body = None
+    for key in ("reason", "error", "problem"):
+        if isinstance(body, dict) and isinstance(body.get(key), str):
+            return body[key][:MAX_REASON_CHARACTERS]
+    return response.reason or "no reason given"
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/internal/printing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions from reports to text, JSON and HTML."""
--- /dev/null
+++ b/packages/operator/src/fuchsiaspread_operator/main.py
@@ -0,0 +1,60 @@
+"""Entry point of the operators' command line."""
+
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+
+from .internal.commands.base import print_failure
+from .internal.commands.file_commands import (
+    CheckCommand,
+    DiffCommand,
+    SchemaCommand,
+    ShowCommand,
+)
+from .internal.commands.fleet_commands import BurnCommand, ExplainCommand, StatusCommand
+from .internal.exit_codes import ExitCode
+
+VERSION = "0.1.0"
+COMMANDS = (
+    CheckCommand,
+    ShowCommand,
+    DiffCommand,
+    StatusCommand,
+    ExplainCommand,
+    BurnCommand,
+    SchemaCommand,
+)
+
+
+def application() -> Application:
+    """Return the command line with all commands."""
+    console = Application("fuchsiaspread", VERSION)
+    for command in COMMANDS:
+        console.add(command())
+    console.set_display_name("fuchsiaspread")
+    console.auto_exits(False)
+    console.catch_exceptions(False)
+    return console
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(run())
+
+
+def run() -> int:
+    """Run the command line; every failure ends in a message without a traceback."""
+    try:
+        return application().run()
+    except CleoError as error:
+        problem = str(error).strip().rstrip(".")
+        print_failure(f"{problem}; fuchsiaspread list shows all commands")
+        return ExitCode.USAGE
+    except Exception as error:
+        # The last line of defence: a fault in the command itself, reported in one line.
+        print_failure(
+            f"fuchsiaspread failed: {type(error).__name__}: {error}; "
+            "report this with the command that you ran"
+        )
+        return ExitCode.INTERNAL
--- /dev/null
+++ b/packages/operator/tests/operator_cli/test_fleet_commands.py
@@ -0,0 +1,281 @@
+"""Guard the commands that ask entry VMs and the platform."""
+
+import asyncio
+import base64
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from .fixtures import EXAMPLES, Respond, answering, burn, run, serve, status, window
+
+REFUSED = {
+    "revision": {"base": 5, "overlay": 7},
+    "faults": [{"file": "base", "key": "services.x", "problem": "bad", "remedy": "mend it"}],
+}
+FLOW = "10.30.0.5:40000-10.20.0.1:7001"
+
+
+class ServedTestCase(unittest.IsolatedAsyncioTestCase):
+    def start(self, respond: Respond) -> str:
+        """Start a server that is stopped after the test."""
+        server, address = serve(respond)
+        self.addAsyncCleanup(server.close_all_connections)
+        self.addCleanup(server.stop)
+        return address
+
+    def fleet(self, path: str, *bodies: Any) -> str:
+        """Start one entry VM for each body and return the option that names them all."""
+        return "--entries " + ",".join(self.start(answering({path: body})) for body in bodies)
+
+    async def run_command(self, command: str, arguments: str) -> tuple[int, str, str]:
+        """Run a command in a thread, since it runs an event loop of its own."""
+        code, output, error = await asyncio.to_thread(run, command, arguments)
+        self.assertNotIn("Traceback", output + error)
+        return code, output, error
+
+    async def run_json(self, command: str, arguments: str) -> tuple[int, dict[str, Any]]:
+        """Run a command with JSON output."""
+        code, output, error = await self.run_command(command, f"{arguments} --format json")
+        self.assertTrue(output, error)
+        return code, json.loads(output)
+
+
+class FleetCommandsTest(ServedTestCase):
+    async def test_status_of_a_sound_fleet(self) -> None:
+        """Guards against findings where nothing is wrong."""
+        entries = self.fleet("/status", status("entry-1"), status("entry-2", "zone-b"))
+        code, output, _ = await self.run_command("status", entries)
+        self.assertEqual(code, 0, output)
+        self.assertIn("nothing needs attention", output)
+        self.assertIn("1.08 min", output)
+
+    async def test_status_names_what_is_wrong(self) -> None:
+        """Guards against a failure of the page's table that the report does not show."""
+        ejected = status("x")["targets"][0] | {"state": "ejected", "reason": "fast resets"}
+        dead = {"name": "entry-1", "zone": "zone-a", "state": "dead", "revision": None}
+        gone = dead | {"name": "entry-9"}
+        older = {"base": 3, "overlay": 7}
+        entries = self.fleet(
+            "/status",
+            status("entry-1", refused=REFUSED, is_stale=True),
+            status("entry-2", "zone-b", revision=older, peers=[dead, gone], targets=[ejected]),
+            status("entry-3", revision=None, platform={"reachable": False, "since_ms_ago": 9}),
+            status(
+                "entry-4",
+                targets=[
+                    ejected | {"manager": "entry-4"},
+                    ejected | {"name": "b", "manager": None},
+                ],
+            ),
+        )
+        code, report = await self.run_json("status", entries)
+        self.assertEqual(code, 1)
+        found = {f"{item['subject']}: {item['problem']}" for item in report["findings"]}
+        for words in (
+            "entry-1: refused revision 5.7: base: services.x: bad; mend it",
+            "entry-1: its view is stale",
+            "entry-2: has revision 3.7 in force; the newest is 4.7",
+            "entry-2: reports entry-1 as dead, but entry-1 answered",
+            "entry-2: reports entry-9 (zone-a) as dead",
+            "entry-3: has no configuration in force",
+            "entry-3: cannot reach the platform",
+            "desk-1: is managed by entry-1 and entry-4 at the same time",
+            "b: order-desk gives it no new work (ejected: fast resets)",
+            "b: has no manager",
+        ):
+            self.assertTrue(any(item.startswith(words) for item in found), (words, found))
+
+    async def test_missing_answers_do_not_stop_the_report(self) -> None:
+        """Guards against one dead or broken entry VM that hides the others."""
+        sound = self.start(answering({"/status": status("entry-1")}))
+        broken = [
+            self.start(lambda uri: None),
+            self.start(lambda uri: (503, b'{"error": "starting"}')),
+            self.start(lambda uri: (200, b"[" * 100_000)),
+            self.start(lambda uri: (200, b'{"name": 3}')),
+            self.start(lambda uri: (200, b"\xff")),
+            "127.0.0.1:1",
+        ]
+        entries = ",".join([sound, *broken])
+        code, report = await self.run_json("status", f"--entries {entries}")
+        self.assertEqual(code, 3)
+        self.assertEqual([row["name"] for row in report["entries"]], ["entry-1"])
+        reasons = {item["entry"]: item["reason"] for item in report["missing"]}
+        self.assertEqual(set(reasons), set(broken))
+        self.assertEqual(reasons[broken[1]], "HTTP status 503: starting")
+        self.assertEqual(reasons["127.0.0.1:1"], "connection refused")
+        code, _, _ = await self.run_command("status", f"--entries {broken[0]}")
+        self.assertEqual(code, 4)
+
+    async def test_answer_that_never_comes_ends_with_the_timeout(self) -> None:
+        """Guards against a report that waits for a paused entry VM."""
+        release = asyncio.Event()
+
+        async def wait(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            writer.close()
+
+        server = await asyncio.start_server(wait, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        arguments = f"--entries 127.0.0.1:{port} --timeout 0.05"
+        code, report = await self.run_json("burn", arguments)
+        release.set()
+        server.close()
+        self.assertEqual((code, report["missing"][0]["reason"]), (4, "no answer within 0.05 s"))
+
+    async def test_explain_flow_prefers_the_record(self) -> None:
+        """Guards against a route that is shown in place of where the flow really is."""
+        route = {"flow": FLOW, "service": "order-desk", "home_shard": "order-desk/zone-a"}
+        route |= {"manager": "entry-1", "backup": "entry-2", "record": None, "reason": "no record"}
+        record = {"target": "desk-1", "phase": "accepted"}
+        other = route | {"manager": "entry-3"}
+        held = route | {"record": record, "reason": "accepted by desk-1"}
+        code, report = await self.run_json(
+            "explain", f"{FLOW} {self.fleet('/explain', other, held)}"
+        )
+        self.assertEqual(code, 0)
+        self.assertEqual((report["target"], report["phase"]), ("desk-1", "accepted"))
+        self.assertEqual(len(report["holders"]), 1)
+        self.assertIn("manager: entry VMs name entry-1 and entry-3", report["disagreements"])
+        code, output, _ = await self.run_command(
+            "explain", f"{FLOW} {self.fleet('/explain', route)}"
+        )
+        self.assertEqual(code, 0)
+        self.assertIn("the next packet of an open flow brings its record back", output)
+
+    async def test_explain_target_and_unknown_names(self) -> None:
+        """Guards against a typing error that reads like a healthy target."""
+        known = {"target": "desk-1", "service": "order-desk", "zone": "zone-a", "state": "ejected"}
+        known |= {"manager": "entry-1", "reason": "no answer", "next_step": "check the host"}
+        code, output, _ = await self.run_command(
+            "explain", f"desk-1 {self.fleet('/explain', known)}"
+        )
+        self.assertEqual(code, 0)
+        self.assertIn("check the host", output)
+        unknown = {"target": "desk-x", "service": None, "state": None, "reason": "unknown"}
+        code, output, _ = await self.run_command(
+            "explain", f"desk-x {self.fleet('/explain', unknown)}"
+        )
+        self.assertEqual(code, 1)
+        self.assertIn("check the name", output)
+
+    async def test_burn_adds_up_the_fleet(self) -> None:
+        """Guards against a budget that is judged by one entry VM alone."""
+        spans = (300, 3_600, 21_600, 30 * 86_400)
+        bad = {"broken": 30, "answered": 970, "in_time": 970}
+        counts = {"opened": 500, "broken": 30}
+        shares = {
+            "by_target": {"desk-1": counts, "desk-2": {"opened": 500}},
+            "by_zone": {"zone-a": counts},
+        }
+        first = burn("entry-1", [window(span, **bad, **shares) for span in spans])
+        second = burn("entry-2", [window(span) for span in spans], started_ms_ago=600_000)
+        with tempfile.TemporaryDirectory() as folder:
+            page = Path(folder) / "burn.html"
+            entries = f"{self.fleet('/burn', first, second)},127.0.0.1:1"
+            code, report = await self.run_json("burn", f"{entries} --html {page}")
+            self.assertIn("order-desk, unbroken", page.read_text())
+            code_of_bad_page, _, error = await self.run_command(
+                "burn", f"{entries} --html {folder}"
+            )
+        self.assertEqual((code, code_of_bad_page), (3, 2))
+        self.assertIn("cannot be written", error)
+        unbroken, in_time = report["budgets"]
+        self.assertEqual((unbroken["alert"], in_time["alert"]), ("fast", "none"))
+        last = unbroken["windows"][-1]
+        self.assertEqual((last["bad"], last["total"]), (30, 2000))
+        self.assertAlmostEqual(last["burn_rate"], 15.0)
+        self.assertAlmostEqual(last["budget_gone"], 15.0)
+        self.assertAlmostEqual(unbroken["windows"][1]["budget_gone"], 15 / 720)
+        self.assertEqual(
+            (unbroken["zone"]["name"], unbroken["target"]["name"]), ("zone-a", "desk-1")
+        )
+        histories = {item["entry"]: item["window_s"] for item in report["missing_history"]}
+        self.assertEqual(histories, {"127.0.0.1:1": 300, "entry-2": 3_600})
+        self.assertNotIn("entry-1", histories)
+
+    async def test_slow_burn_and_counts_from_hostile_answers(self) -> None:
+        """Guards against a slow burn that no alert shows, and against impossible counts."""
+        spans = (300, 3_600, 21_600, 30 * 86_400)
+        slow = [window(span, in_time=930, refused=0) for span in spans]
+        code, report = await self.run_json("burn", self.fleet("/burn", burn("entry-1", slow)))
+        self.assertEqual((code, report["budgets"][1]["alert"]), (1, "slow"))
+        wrong = burn("entry-1", [window(300, opened=-1)])
+        code, _, _ = await self.run_command("burn", self.fleet("/burn", wrong))
+        self.assertEqual(code, 4)
+
+
+class PlatformTest(ServedTestCase):
+    def platform(self, values: dict[str, bytes]) -> str:
+        """Start a platform that has the given values."""
+        entries = {
+            f"/v1/kv/fuchsiaspread/{key}": [
+                {"Key": key, "Value": base64.b64encode(value).decode(), "ModifyIndex": 9}
+            ]
+            for key, value in values.items()
+        }
+        return self.start(answering(entries))
+
+    def published(self) -> dict[str, bytes]:
+        """Return the example files as they would be published."""
+        folder = EXAMPLES / "empresa"
+        return {
+            "base": (folder / "base.yaml").read_bytes(),
+            "sites/occidente": (folder / "sites" / "occidente.yaml").read_bytes(),
+        }
+
+    async def test_check_and_show_against_the_platform(self) -> None:
+        """Guards against a comparison with something else than what is published."""
+        values = self.published()
+        address = self.platform(values)
+        code, output, _ = await self.run_command(
+            "check", f"{EXAMPLES}/empresa --platform {address}"
+        )
+        self.assertEqual((code, "no change" in output), (0, True), output)
+        changed = values | {
+            "base": values["base"].replace(b"deadline_ms: 20000", b"deadline_ms: 9")
+        }
+        address = self.platform(changed)
+        code, report = await self.run_json("check", f"{EXAMPLES}/empresa --platform {address}")
+        self.assertEqual(report["comparison"]["changes"][0]["before"], "request, 9 ms, repeatable")
+        code, output, _ = await self.run_command("show", f"--platform {address} --site occidente")
+        self.assertIn("scans.deadline_ms", output)
+
+    async def test_platform_that_is_down_empty_or_wrong(self) -> None:
+        """Guards against a traceback while the platform is down or answers nonsense."""
+        show = "--site occidente --platform"
+        code, _, error = await self.run_command("show", f"{show} 127.0.0.1:1")
+        self.assertEqual((code, "connection refused" in error), (4, True))
+        code, _, error = await self.run_command("show", f"{show} {self.platform({})}")
+        self.assertEqual((code, "publish the file first" in error), (1, True))
+        for body in (b"[]", b"{", b'[{"Value": "%%", "ModifyIndex": 1}]', b"[" * 100_000):
+            address = self.start(lambda uri, body=body: (200, body))
+            code, _, error = await self.run_command("show", f"{show} {address}")
+            self.assertEqual((code, "unexpected form" in error), (1, True), error)
+        new_site = {"base": self.published()["base"]}
+        address = self.platform(new_site)
+        code, report = await self.run_json("check", f"{EXAMPLES}/empresa --platform {address}")
+        self.assertEqual(report["comparison"]["changes"][0]["after"], "present")
+
+    async def test_members_from_platform_and_file(self) -> None:
+        """Guards against a fleet that is asked at the wrong addresses."""
+        entry = self.start(answering({"/status": status("entry-1")}))
+        member = {"name": "entry-1", "zone": "zone-a", "peer": "127.0.0.1:1"}
+        listed = json.dumps([member | {"control": "127.0.0.1:2", "admin": entry}]).encode()
+        address = self.platform({"members/occidente": listed})
+        code, _, _ = await self.run_command("status", f"--platform {address} --site occidente")
+        self.assertEqual(code, 0)
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "members.json"
+            for content, expected in ((listed, 0), (b"[]", 1), (b"{", 1), (b"[1]", 1)):
+                file.write_bytes(content)
+                code, _, error = await self.run_command("status", f"--members {file}")
+                self.assertEqual(code, expected, error)
+        code, _, error = await self.run_command("status", "--members /nowhere/members.json")
+        self.assertEqual((code, "no such file" in error), (1, True))
+
+
+if __name__ == "__main__":
+    unittest.main()
