--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the stand-ins that other packages do not use."""
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/internal/connections.py
@@ -0,0 +1,106 @@
+"""The connections of one host, without input or output."""
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from fuchsiaspread_core.identifiers import Endpoint
+
+from ..transport import (
+    Arrived,
+    Connect,
+    Connection,
+    Event,
+    Output,
+    State,
+    TimerExpired,
+    Transmit,
+)
+from .segments import ACK, RST, SYN, Segment, reset_for
+
+
+class ConnectionKey(NamedTuple):
+    """Name a connection by its two ends."""
+
+    local: Endpoint
+    remote: Endpoint
+
+
+KeyedOutput = tuple[ConnectionKey, Output]
+
+
+class Connections:
+    """Map segments and timers to connections; ended connections are forgotten."""
+
+    def __init__(self, seed: int, accepts: Callable[[Endpoint], bool]) -> None:
+        self._random = random.Random(seed)
+        self._accepts = accepts
+        self._connections: dict[ConnectionKey, Connection] = {}
+        self._timers: list[tuple[int, ConnectionKey]] = []
+        self._armed: dict[ConnectionKey, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def __contains__(self, key: ConnectionKey) -> bool:
+        return key in self._connections
+
+    @property
+    def next_deadline_ms(self) -> int | None:
+        """Return the time of the earliest timer."""
+        return self._timers[0][0] if self._timers else None
+
+    def connect(self, now_ms: int, local: Endpoint, remote: Endpoint) -> list[KeyedOutput]:
+        """Open a connection."""
+        key = ConnectionKey(local, remote)
+        self._connections[key] = Connection(local, remote, self._random.getrandbits(32))
+        return self.act(now_ms, key, Connect())
+
+    def arrive(self, now_ms: int, segment: Segment) -> list[KeyedOutput]:
+        """Take a segment from the network."""
+        key = ConnectionKey(segment.destination, segment.source)
+        known = self._connections.get(key)
+        is_open = segment.flags & (SYN | ACK | RST) == SYN and self._accepts(segment.destination)
+        if is_open and (known is None or known.state is State.TIME_WAIT):
+            token = self._random.getrandbits(32)
+            self._connections[key] = Connection(key.local, key.remote, token)
+        elif known is None:
+            reset = reset_for(segment)
+            return [] if reset is None else [(key, Transmit(reset))]
+        return self.act(now_ms, key, Arrived(segment))
+
+    def act(self, now_ms: int, key: ConnectionKey, event: Event) -> list[KeyedOutput]:
+        """Hand an event to a connection; one that ended meanwhile takes none."""
+        connection = self._connections.get(key)
+        if connection is None:
+            return []
+        outputs = connection.handle(now_ms, event)
+        if connection.state is State.CLOSED:
+            del self._connections[key]
+            self._armed.pop(key, None)
+        elif connection.timer_ms is not None and self._is_earlier(key, connection.timer_ms):
+            self._armed[key] = connection.timer_ms
+            heapq.heappush(self._timers, (connection.timer_ms, key))
+        return [(key, output) for output in outputs]
+
+    def expire(self, now_ms: int) -> list[KeyedOutput]:
+        """Hand the timers that are due to their connections."""
+        outputs: list[KeyedOutput] = []
+        while self._timers and self._timers[0][0] <= now_ms:
+            deadline_ms, key = heapq.heappop(self._timers)
+            if self._armed.get(key) == deadline_ms:
+                del self._armed[key]
+                outputs += self.act(now_ms, key, TimerExpired())
+        return outputs
+
+    def forget_all(self) -> None:
+        """Lose all connections, as a restarted host does."""
+        self._connections.clear()
+        self._timers.clear()
+        self._armed.clear()
+
+    # One timer a connection is armed; a later deadline is armed when the earlier one expires.
+    def _is_earlier(self, key: ConnectionKey, timer_ms: int) -> bool:
+        armed_ms = self._armed.get(key)
+        return armed_ms is None or timer_ms < armed_ms
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/outcomes.py
@@ -0,0 +1,56 @@
+"""Outcomes of flows as callers see them."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from fuchsiaspread_core.identifiers import Endpoint
+
+
+class BreakReason(StrEnum):
+    """Name how a flow broke after its handshake."""
+
+    RESET = "reset"
+    CLOSED_EARLY = "closed_early"
+    DAMAGED = "damaged"
+    CROSSED = "crossed"
+    STALLED = "stalled"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Report a whole answer, or a stream that ended after whole answers only."""
+
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Report that the open was refused, so that no target may have run the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Report a flow that failed after its handshake; a target may have run the request."""
+
+    reason: BreakReason
+
+
+@dataclass(frozen=True, slots=True)
+class TimedOut:
+    """Report that no whole answer came in time."""
+
+    was_open: bool
+
+
+Outcome = Answered | NotRun | Broken | TimedOut
+
+
+@dataclass(frozen=True, slots=True)
+class FlowEnded:
+    """Report the end of a caller's flow."""
+
+    identifier: str
+    address: Endpoint
+    is_stream: bool
+    elapsed_ms: int
+    outcome: Outcome
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/transport.py
@@ -0,0 +1,355 @@
+"""A TCP connection as a state machine without input or output."""
+
+from collections import deque
+from dataclasses import dataclass, replace
+from enum import Enum, auto
+from typing import assert_never
+
+from fuchsiaspread_core.identifiers import Endpoint
+
+from .internal.segments import (
+    ACK,
+    FIN,
+    RST,
+    SEQUENCE_MASK,
+    SYN,
+    WINDOW_BYTES,
+    Segment,
+    distance,
+    reset_for,
+)
+
+SEGMENT_DATA_BYTES = 1200
+IN_FLIGHT_LIMIT = 32
+FIRST_TIMEOUT_MS = 200
+# The longest interval stays short, so that a flow resumes soon after an entry VM is lost.
+LONGEST_TIMEOUT_MS = 1600
+# With the two limits above, a peer may be silent for about 14 s.
+RETRANSMISSION_LIMIT = 10
+TIME_WAIT_MS = 1000
+
+
+class State(Enum):
+    """Name the states of a connection."""
+
+    LISTEN = auto()
+    SYN_SENT = auto()
+    SYN_RECEIVED = auto()
+    ESTABLISHED = auto()
+    FIN_WAIT_1 = auto()
+    FIN_WAIT_2 = auto()
+    CLOSING = auto()
+    CLOSE_WAIT = auto()
+    LAST_ACK = auto()
+    TIME_WAIT = auto()
+    CLOSED = auto()
+
+
+class Signal(Enum):
+    """Name what moves a connection from state to state."""
+
+    HANDSHAKE = auto()
+    LOCAL_CLOSE = auto()
+    PEER_CLOSE = auto()
+    CLOSE_ACKNOWLEDGED = auto()
+
+
+TRANSITIONS: dict[tuple[State, Signal], State] = {
+    (State.SYN_SENT, Signal.HANDSHAKE): State.ESTABLISHED,
+    (State.SYN_RECEIVED, Signal.HANDSHAKE): State.ESTABLISHED,
+    (State.ESTABLISHED, Signal.LOCAL_CLOSE): State.FIN_WAIT_1,
+    (State.ESTABLISHED, Signal.PEER_CLOSE): State.CLOSE_WAIT,
+    (State.FIN_WAIT_1, Signal.PEER_CLOSE): State.CLOSING,
+    (State.FIN_WAIT_1, Signal.CLOSE_ACKNOWLEDGED): State.FIN_WAIT_2,
+    (State.FIN_WAIT_2, Signal.PEER_CLOSE): State.TIME_WAIT,
+    (State.CLOSING, Signal.CLOSE_ACKNOWLEDGED): State.TIME_WAIT,
+    (State.CLOSE_WAIT, Signal.LOCAL_CLOSE): State.LAST_ACK,
+    (State.LAST_ACK, Signal.CLOSE_ACKNOWLEDGED): State.CLOSED,
+}
+SENDING_STATES = frozenset({State.ESTABLISHED, State.CLOSE_WAIT})
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """Open the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """Report a segment from the peer."""
+
+    segment: Segment
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Send data to the peer."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """End the own side once all data is sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Abort:
+    """Give the connection up with a reset."""
+
+
+@dataclass(frozen=True, slots=True)
+class TimerExpired:
+    """Report that the time in `timer_ms` was reached."""
+
+
+Event = Connect | Arrived | Write | Close | Abort | TimerExpired
+
+
+@dataclass(frozen=True, slots=True)
+class Transmit:
+    """Send a segment to the peer."""
+
+    segment: Segment
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """Report that the handshake is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Delivered:
+    """Hand received data to the application, in order."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PeerClosed:
+    """Report that the peer ended its side."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Report that the open was refused by a reset that acknowledges the SYN."""
+
+
+@dataclass(frozen=True, slots=True)
+class WasReset:
+    """Report that the peer reset the connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class GaveUp:
+    """Report that the peer did not answer any retransmission."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """Report that both sides ended."""
+
+
+Output = Transmit | Opened | Delivered | PeerClosed | Refused | WasReset | GaveUp | Finished
+
+
+class Connection:
+    """Hold one connection; `timer_ms` tells when `TimerExpired` is due, if at all."""
+
+    def __init__(self, local: Endpoint, remote: Endpoint, token: int) -> None:
+        self.local, self.remote = local, remote
+        self.state = State.LISTEN
+        self.timer_ms: int | None = None
+        self.received_sequence = 0
+        self._send_next = token
+        self._unsent = bytearray()
+        self._is_close_pending = False
+        self._in_flight: deque[Segment] = deque()
+        self._out_of_order: dict[int, Segment] = {}
+        self._timeout_ms = FIRST_TIMEOUT_MS
+        self._retransmissions = 0
+
+    def handle(self, now_ms: int, event: Event) -> list[Output]:
+        """Take an event and return what follows from it."""
+        outputs: list[Output] = []
+        match event:
+            case Connect():
+                self.state = State.SYN_SENT
+                self._send(now_ms, SYN, b"", outputs)
+            case Arrived(segment):
+                self._arrive(now_ms, segment, outputs)
+            case Write(data):
+                self._unsent += data
+                self._flush(now_ms, outputs)
+            case Close():
+                self._is_close_pending = True
+                self._flush(now_ms, outputs)
+            case Abort():
+                if self.state not in (State.LISTEN, State.SYN_SENT, State.CLOSED):
+                    outputs.append(Transmit(self._segment(RST | ACK, self._send_next)))
+                self._end()
+            case TimerExpired():
+                self._expire(now_ms, outputs)
+            case _:
+                assert_never(event)
+        return outputs
+
+    def _arrive(self, now_ms: int, segment: Segment, outputs: list[Output]) -> None:
+        match self.state:
+            case State.CLOSED:
+                pass
+            case State.LISTEN:
+                if segment.flags & (SYN | ACK | RST) == SYN:
+                    self.state = State.SYN_RECEIVED
+                    self.received_sequence = (segment.sequence + 1) & SEQUENCE_MASK
+                    self._send(now_ms, SYN | ACK, b"", outputs)
+            case State.SYN_SENT:
+                self._arrive_at_opener(now_ms, segment, outputs)
+            case _:
+                self._arrive_synchronized(now_ms, segment, outputs)
+
+    def _arrive_at_opener(self, now_ms: int, segment: Segment, outputs: list[Output]) -> None:
+        is_wrong = segment.flags & ACK and segment.acknowledges != self._send_next
+        if is_wrong:
+            answer = reset_for(segment)
+            if answer is not None:
+                outputs.append(Transmit(answer))
+        elif segment.flags & RST and segment.flags & ACK:
+            self._end()
+            outputs.append(Refused())
+        elif segment.flags & SYN and segment.flags & ACK:
+            self.received_sequence = (segment.sequence + 1) & SEQUENCE_MASK
+            self._acknowledge(now_ms, segment.acknowledges)
+            self.state = TRANSITIONS[self.state, Signal.HANDSHAKE]
+            outputs += [Transmit(self._segment(ACK, self._send_next)), Opened()]
+
+    def _arrive_synchronized(self, now_ms: int, segment: Segment, outputs: list[Output]) -> None:
+        if segment.flags & RST:
+            self._arrive_reset(segment, outputs)
+        elif segment.flags & SYN:
+            is_repeated = segment.sequence + 1 & SEQUENCE_MASK == self.received_sequence
+            if self.state is State.SYN_RECEIVED and is_repeated:
+                outputs.append(Transmit(self._in_flight[0]))
+            else:
+                outputs.append(Transmit(self._segment(ACK, self._send_next)))
+        elif segment.flags & ACK and self._is_acceptable(segment, outputs):
+            if self.state is State.SYN_RECEIVED:
+                self.state = TRANSITIONS[self.state, Signal.HANDSHAKE]
+                outputs.append(Opened())
+            self._acknowledge(now_ms, segment.acknowledges)
+            self._receive(now_ms, segment, outputs)
+            self._flush(now_ms, outputs)
+            if self.state is State.CLOSED:
+                outputs.append(Finished())
+
+    def _arrive_reset(self, segment: Segment, outputs: list[Output]) -> None:
+        ahead = distance(segment.sequence, self.received_sequence)
+        if ahead == 0:
+            is_finished = self.state in (State.TIME_WAIT, State.LAST_ACK)
+            self._end()
+            outputs.append(Finished() if is_finished else WasReset())
+        elif 0 < ahead < WINDOW_BYTES:
+            # A blind reset must not end the connection: the peer confirms it by a second one.
+            outputs.append(Transmit(self._segment(ACK, self._send_next)))
+
+    def _is_acceptable(self, segment: Segment, outputs: list[Output]) -> bool:
+        ahead = distance(segment.acknowledges, self._send_next)
+        if self.state is State.SYN_RECEIVED and ahead != 0:
+            answer = reset_for(segment)
+            assert answer is not None
+            outputs.append(Transmit(answer))
+            return False
+        if ahead > 0:
+            outputs.append(Transmit(self._segment(ACK, self._send_next)))
+            return False
+        return True
+
+    def _acknowledge(self, now_ms: int, acknowledges: int) -> None:
+        has_progress = False
+        while self._in_flight:
+            first = self._in_flight[0]
+            if distance(acknowledges, first.sequence + first.length) < 0:
+                break
+            self._in_flight.popleft()
+            has_progress = True
+            if first.flags & FIN:
+                self._signal(now_ms, Signal.CLOSE_ACKNOWLEDGED)
+        if has_progress:
+            self._timeout_ms = FIRST_TIMEOUT_MS
+            self._retransmissions = 0
+            if self.state is not State.TIME_WAIT:
+                self.timer_ms = now_ms + self._timeout_ms if self._in_flight else None
+
+    def _receive(self, now_ms: int, segment: Segment, outputs: list[Output]) -> None:
+        if not segment.length:
+            return
+        if 0 <= distance(segment.sequence, self.received_sequence) < WINDOW_BYTES:
+            self._out_of_order.setdefault(segment.sequence, segment)
+        data = bytearray()
+        has_ended = False
+        while (following := self._out_of_order.pop(self.received_sequence, None)) is not None:
+            self.received_sequence = (following.sequence + following.length) & SEQUENCE_MASK
+            data += following.data
+            if following.flags & FIN:
+                has_ended = True
+                self._signal(now_ms, Signal.PEER_CLOSE)
+        outputs.append(Transmit(self._segment(ACK, self._send_next)))
+        if data:
+            outputs.append(Delivered(bytes(data)))
+        if has_ended:
+            outputs.append(PeerClosed())
+
+    def _flush(self, now_ms: int, outputs: list[Output]) -> None:
+        if self.state not in SENDING_STATES:
+            return
+        while self._unsent and len(self._in_flight) < IN_FLIGHT_LIMIT:
+            data = bytes(self._unsent[:SEGMENT_DATA_BYTES])
+            del self._unsent[:SEGMENT_DATA_BYTES]
+            self._send(now_ms, ACK, data, outputs)
+        if self._is_close_pending and not self._unsent:
+            self._send(now_ms, FIN | ACK, b"", outputs)
+            self._signal(now_ms, Signal.LOCAL_CLOSE)
+
+    def _send(self, now_ms: int, flags: int, data: bytes, outputs: list[Output]) -> None:
+        segment = self._segment(flags, self._send_next, data)
+        self._send_next = (self._send_next + segment.length) & SEQUENCE_MASK
+        self._in_flight.append(segment)
+        if self.timer_ms is None:
+            self.timer_ms = now_ms + self._timeout_ms
+        outputs.append(Transmit(segment))
+
+    def _segment(self, flags: int, sequence: int, data: bytes = b"") -> Segment:
+        acknowledges = self.received_sequence if flags & ACK else 0
+        return Segment(self.local, self.remote, flags, sequence, acknowledges, data)
+
+    def _signal(self, now_ms: int, signal: Signal) -> None:
+        self.state = TRANSITIONS.get((self.state, signal), self.state)
+        if self.state is State.TIME_WAIT:
+            self.timer_ms = now_ms + TIME_WAIT_MS
+        elif self.state is State.CLOSED:
+            self._end()
+
+    def _expire(self, now_ms: int, outputs: list[Output]) -> None:
+        if self.timer_ms is None or now_ms < self.timer_ms:
+            return
+        if self.state is State.TIME_WAIT:
+            self._end()
+            outputs.append(Finished())
+            return
+        self._retransmissions += 1
+        if self._retransmissions > RETRANSMISSION_LIMIT:
+            self._end()
+            outputs.append(GaveUp())
+            return
+        first = self._in_flight[0]
+        if first.flags & ACK:
+            first = replace(first, acknowledges=self.received_sequence)
+        outputs.append(Transmit(first))
+        self._timeout_ms = min(self._timeout_ms * 2, LONGEST_TIMEOUT_MS)
+        self.timer_ms = now_ms + self._timeout_ms
+
+    def _end(self) -> None:
+        self.state = State.CLOSED
+        self.timer_ms = None
+        self._in_flight.clear()
+        self._out_of_order.clear()
--- /dev/null
+++ b/packages/standins/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins with real sockets and processes."""
--- /dev/null
+++ b/packages/standins/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests of the stand-ins."""
