Add faults, processes, the scenario language and the demo

Cause: the invariants have to be shown on real daemon processes under faults. Change: seeded link faults applied by the fabric and by a socket hook in the daemon's process, a fleet of real processes on a loopback network of its own, a scenario language with a runner, and the demo of both examples; data written before the handshake is now sent after it.

--- a/packages/standins/src/fuchsiaspread_standins/caller.py
+++ b/packages/standins/src/fuchsiaspread_standins/caller.py
@@ -19,12 +19,28 @@
     reply: "asyncio.Future[CallerReport]"
 
 
+@dataclass(frozen=True, slots=True)
+class FlowCounts:
+    """Count flows by kind."""
+
+    opened_streams: int = 0
+    ended_streams: int = 0
+    ended_requests: int = 0
+
+    def reaches(self, wanted: "FlowCounts") -> bool:
+        """Return whether every count is at least the wanted one."""
+        return (
+            self.opened_streams >= wanted.opened_streams
+            and self.ended_streams >= wanted.ended_streams
+            and self.ended_requests >= wanted.ended_requests
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class WaitForFlows:
-    """Ask to be told when at least `ended` flows have ended and `opened` have opened."""
+    """Ask to be told when the counts are reached."""
 
-    opened: int
-    ended: int
+    wanted: FlowCounts
     reply: "asyncio.Future[None]"
 
 
@@ -37,6 +53,7 @@
     open_count: int
     flow_count: int
     answered_messages: int
+    counts: FlowCounts
     ended: tuple[FlowEnded, ...]
 
     def outcomes(self) -> Counter[str]:
@@ -54,6 +71,7 @@
         self._gateway = gateway
         self._callers = Callers(name, seed, second_octet)
         self._ended: list[FlowEnded] = []
+        self._ended_streams = 0
         self._started_count = 0
         self._waiting: list[WaitForFlows] = []
 
@@ -82,6 +100,7 @@
             self.send(encode(segment), self._gateway)
         self._callers.sent.clear()
         self._ended += self._callers.ended
+        self._ended_streams += sum(flow.is_stream for flow in self._callers.ended)
         self._callers.ended.clear()
         self._answer_waiting()
 
@@ -95,10 +114,10 @@
         self.mailbox.put_nowait(AskCallers(reply))
         return await reply
 
-    async def wait_for(self, opened: int, ended: int, limit_s: float) -> bool:
-        """Wait until so many flows opened and ended; return False at the limit."""
+    async def wait_for(self, wanted: FlowCounts, limit_s: float) -> bool:
+        """Wait until the counts are reached; return False at the limit."""
         reply: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.mailbox.put_nowait(WaitForFlows(opened, ended, reply))
+        self.mailbox.put_nowait(WaitForFlows(wanted, reply))
         try:
             await asyncio.wait_for(reply, limit_s)
         except TimeoutError:
@@ -113,15 +132,17 @@
             callers.open_count,
             callers.flow_count,
             callers.answered_messages,
+            self._counts(),
             tuple(self._ended),
         )
 
+    def _counts(self) -> FlowCounts:
+        ended_requests = len(self._ended) - self._ended_streams
+        return FlowCounts(self._callers.opened_stream_count, self._ended_streams, ended_requests)
+
     def _answer_waiting(self) -> None:
-        remaining = []
-        for waiting in self._waiting:
-            is_met = self._callers.opened_count >= waiting.opened
-            if not is_met or len(self._ended) < waiting.ended:
-                remaining.append(waiting)
-            elif not waiting.reply.done():
+        counts = self._counts()
+        for waiting in [w for w in self._waiting if counts.reaches(w.wanted)]:
+            self._waiting.remove(waiting)
+            if not waiting.reply.done():
                 waiting.reply.set_result(None)
-        self._waiting = remaining
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/demo.py
@@ -0,0 +1,170 @@
+"""Run both example deployments through planned changes: `python -m fuchsiaspread_standins.demo`."""
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from .fleet import Fleet, SiteReport
+from .scenario import InvalidScenario, Runner, parse_scenario
+from .scenario.expectations import Tally, tally
+
+EXAMPLES = Path("examples")
+SEED = 1
+STREAMS, REQUESTS, BULKY_REQUESTS = 400, 600, 60
+
+# One load runs through a change of weight, a drain and the replacement of an entry VM.
+STEPS = """
+deployment {example}
+load {streams} streams on {stream_address} every 500ms
+wait for streams
+load {requests} requests on {request_address} working 20ms over 15s
+load {bulky_requests} requests on {bulky_address} working 150ms over 15s
+wait 1s
+change weight of {weighted} to 2
+wait for revision
+change drain {drained}
+wait for revision
+wait 4s
+fault stop {replaced}
+fault start {replaced}
+wait 2s
+wait for requests
+wait for revision
+expect quiet {drained}
+expect broken requests at most 0
+expect broken streams at most 0
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Demo:
+    """Name what one example deployment calls its parts."""
+
+    example: str
+    stream_address: str
+    request_address: str
+    bulky_address: str
+    weighted: str
+    drained: str
+    replaced: str
+
+
+DEMOS = (
+    Demo("empresa", "screens", "job-cards", "scans", "desk-1", "desk-2", "entry-2"),
+    Demo("glenfixer", "hazards", "bookings", "consignments", "track-1", "track-2", "entry-3"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """Hold what the closing table shows of one deployment."""
+
+    example: str
+    counts: Tally | None
+    revisions: dict[str, str]
+    problems: tuple[str, ...]
+
+
+def script(demo: Demo) -> str:
+    """Return the scenario text of one example deployment."""
+    return STEPS.format(
+        example=demo.example,
+        streams=STREAMS,
+        requests=REQUESTS,
+        bulky_requests=BULKY_REQUESTS,
+        stream_address=demo.stream_address,
+        request_address=demo.request_address,
+        bulky_address=demo.bulky_address,
+        weighted=demo.weighted,
+        drained=demo.drained,
+        replaced=demo.replaced,
+    )
+
+
+async def show(demo: Demo) -> Summary:
+    """Run one example deployment and print its progress."""
+    scenario = parse_scenario(script(demo))
+    assert not isinstance(scenario, InvalidScenario), scenario
+    started_s = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"{demo.example:10} {time.monotonic() - started_s:5.1f} s  {text}", flush=True)
+
+    fleet = Fleet(EXAMPLES / demo.example, SEED)
+    runner = Runner(fleet)
+    problems: list[str] = []
+    say("starting platform, fabric, targets, callers and the entry VM processes")
+    try:
+        for not_ready in await fleet.start():
+            problems.append(f"{not_ready.name} is not ready:\n{not_ready.output}")
+        if problems:
+            return Summary(demo.example, None, {}, tuple(problems))
+        say(f"ready: {', '.join(fleet.running())}")
+        for numbered in scenario.steps:
+            say(numbered.text)
+            failed = await runner.run(numbered.step)
+            if failed is not None:
+                problems.append(f"{numbered.text}: {failed.problem}")
+        problems += [failed.problem for failed in await runner.finish()]
+        report: SiteReport = await fleet.report()
+        return Summary(demo.example, tally(report), await revisions(fleet), tuple(problems))
+    finally:
+        runner.close()
+        await fleet.stop()
+
+
+async def revisions(fleet: Fleet) -> dict[str, str]:
+    """Return the revision in force at each entry VM, as base/overlay."""
+    found = {}
+    for name in fleet.processes:
+        status = await fleet.status(name)
+        revision = None if status is None else status.get("revision")
+        is_known = isinstance(revision, dict)
+        found[name] = f"{revision['base']}/{revision['overlay']}" if is_known else "no answer"
+    return found
+
+
+def rows(summary: Summary) -> list[tuple[str, str]]:
+    """Return the rows of the closing table for one deployment."""
+    counts = summary.counts
+    if counts is None:
+        return [("result", "not started")]
+    return [
+        ("flows opened", str(counts.opened)),
+        ("whole answers", str(counts.answered_requests)),
+        ("whole streams", str(counts.whole_streams)),
+        ("broken flows", str(counts.broken_streams + counts.broken_requests)),
+        ("wrong-service packets", str(counts.wrong_service_packets)),
+        ("refusals", str(counts.refused)),
+        ("refused but run", str(len(counts.not_run_lies))),
+        ("run twice", str(len(counts.double_runs))),
+        *((f"revision at {name}", value) for name, value in summary.revisions.items()),
+    ]
+
+
+def print_table(summaries: list[Summary]) -> None:
+    """Print one column for each deployment, then the problems."""
+    columns = [dict(rows(summary)) for summary in summaries]
+    labels = list(dict.fromkeys(label for column in columns for label in column))
+    print(f"\n{'':24}" + "".join(f"{summary.example:>14}" for summary in summaries))
+    for label in labels:
+        print(f"{label:24}" + "".join(f"{column.get(label, '-'):>14}" for column in columns))
+    for summary in summaries:
+        for problem in summary.problems:
+            print(f"BROKEN {summary.example}: {problem}")
+
+
+def main() -> int:
+    """Run both examples; return 1 when something that must hold did not."""
+    if not EXAMPLES.is_dir():
+        print(f"no folder {EXAMPLES.resolve()}: run the demo from the root of the repository")
+        return 1
+    summaries = [asyncio.run(show(demo)) for demo in DEMOS]
+    print_table(summaries)
+    return 1 if any(summary.problems for summary in summaries) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/fleet.py
@@ -0,0 +1,273 @@
+"""A whole site on loopback: platform, fabric, targets, callers and real entry VM processes."""
+
+import asyncio
+import json
+import tempfile
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import yaml
+from fuchsiaspread_core.identifiers import Endpoint
+
+from .caller import CallerReport, CallerTask
+from .fabric import Fabric, SetEntries, SetRules
+from .internal.datagrams import DatagramTask, now_ms
+from .internal.deployment import Deployment, endpoint_of, load_deployment
+from .internal.faults import Cut, LinkRule
+from .internal.networks import lease_network
+from .internal.publishing import FileChange, Files, Misspell, change_files
+from .internal.serving import Serving, TargetReport
+from .platform import Platform
+from .process import EntryProcess, NotReady
+from .target import TargetTask
+
+CALLER_HOST = "0.20"
+# Callers live beside the example's service addresses: 10.20.x.y is called from 10.30.x.y.
+CALLER_OCTET_OFFSET = 10
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+# The platform's list of members lags behind the actual state.
+LIST_LAG_S = 0.5
+# The fabric stops using an entry VM that announced its end sooner than one that was lost.
+WITHDRAW_LAG_S = 0.3
+LOST_LAG_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class SiteReport:
+    """Hold what callers and targets saw."""
+
+    callers: CallerReport
+    targets: tuple[TargetReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ExpectedRevision:
+    """Hold the platform's indexes of the newest valid base file and overlay."""
+
+    base: int
+    overlay: int
+
+
+class Fleet:
+    """Own the tasks and processes of one site."""
+
+    def __init__(self, example: Path, seed: int) -> None:
+        self._network = lease_network()
+        self._folder = tempfile.TemporaryDirectory(prefix="fuchsiaspread-")
+        self.deployment: Deployment = load_deployment(example, self._network.second_octet)
+        self.files = Files(self.deployment.base, self.deployment.overlay)
+        self.expected = ExpectedRevision(0, 0)
+        self.drained_ms: dict[str, int] = {}
+        self._leaving: set[str] = set()
+        self._listed = {entry.name for entry in self.deployment.entries}
+        self._sprayed = {entry.name for entry in self.deployment.entries}
+        self._rules: tuple[LinkRule, ...] = ()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._background: set[asyncio.Task[None]] = set()
+        deployment = self.deployment
+        entry_hosts = frozenset(entry.listen.host for entry in deployment.entries)
+        self.platform = Platform(deployment.platform)
+        self.fabric = Fabric(deployment.gateway, entry_hosts, seed)
+        service_host = deployment.configuration.services[0].addresses[0].endpoint.host
+        self.callers = CallerTask(
+            Endpoint(f"127.{self._network.second_octet}.{CALLER_HOST}", 0),
+            deployment.gateway,
+            "flow",
+            seed + 1,
+            int(service_host.split(".")[1]) + CALLER_OCTET_OFFSET,
+        )
+        self.targets = self._make_targets(seed)
+        self.processes = {
+            entry.name: EntryProcess(
+                entry.name,
+                entry.listen.host,
+                entry.admin,
+                self._write_settings(entry.name, entry.settings),
+            )
+            for entry in deployment.entries
+        }
+
+    async def start(self) -> list[NotReady]:
+        """Start everything and wait until each entry VM is ready."""
+        members: list[DatagramTask] = [self.fabric, self.callers, *self.targets.values()]
+        self._tasks = [asyncio.create_task(member.run()) for member in members]
+        self._spray()
+        site = self.deployment.site
+        base = self.platform.publish("fuchsiaspread/base", self.files.base.encode())
+        key = f"fuchsiaspread/sites/{site}"
+        self.expected = ExpectedRevision(
+            base, self.platform.publish(key, self.files.overlay.encode())
+        )
+        self._list_members()
+        await asyncio.gather(*(process.start() for process in self.processes.values()))
+        waits = [process.wait_ready(START_LIMIT_S) for process in self.processes.values()]
+        return [answer for answer in await asyncio.gather(*waits) if answer is not None]
+
+    async def stop(self) -> None:
+        """End all tasks and processes of this fleet."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            await process.wait_ended(STOP_LIMIT_S)
+        tasks = [*self._tasks, *self._background]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.platform.stop()
+        self._folder.cleanup()
+        self._network.release()
+
+    def publish(self, change: FileChange) -> None:
+        """Publish changed files; an invalid change is not expected to be in force."""
+        changed = change_files(self.files, change)
+        key = f"fuchsiaspread/sites/{self.deployment.site}"
+        if isinstance(change, Misspell):
+            self.platform.publish(key, changed.overlay.encode())
+            return
+        base, overlay = self.expected.base, self.expected.overlay
+        if changed.base != self.files.base:
+            base = self.platform.publish("fuchsiaspread/base", changed.base.encode())
+        if changed.overlay != self.files.overlay:
+            overlay = self.platform.publish(key, changed.overlay.encode())
+        self.files = changed
+        self.expected = ExpectedRevision(base, overlay)
+
+    def note_drain(self, target: str) -> None:
+        """Note when a drain was published."""
+        self.drained_ms[target] = now_ms()
+
+    async def start_entry(self, name: str) -> NotReady | None:
+        """Start an entry VM that is not running and list it."""
+        process = self.processes[name]
+        await process.start()
+        await process.set_rules(self._rules)
+        self._leaving.discard(name)
+        self._listed.add(name)
+        self._list_members()
+        failure = await process.wait_ready(START_LIMIT_S)
+        self._sprayed.add(name)
+        self._spray()
+        return failure
+
+    async def stop_entry(self, name: str) -> int | None:
+        """Stop an entry VM gracefully and return its exit status, or None when it stays."""
+        self.processes[name].terminate()
+        self._leaving.add(name)
+        self._later(LIST_LAG_S, self._list_members)
+        self._later(WITHDRAW_LAG_S, lambda: self._withdraw(name))
+        status = await self.processes[name].wait_ended(STOP_LIMIT_S)
+        self._listed.discard(name)
+        self._list_members()
+        return status
+
+    async def kill_entry(self, name: str) -> None:
+        """Kill an entry VM; fabric and list notice later."""
+        self.processes[name].kill()
+        await self.processes[name].wait_ended(STOP_LIMIT_S)
+        self._listed.discard(name)
+        self._later(LOST_LAG_S, lambda: self._withdraw(name))
+        self._later(LOST_LAG_S + LIST_LAG_S, self._list_members)
+
+    def freeze_entry(self, name: str) -> None:
+        """Pause an entry VM; the fabric withdraws it as one that was lost."""
+        self.processes[name].freeze()
+        self._later(LOST_LAG_S, lambda: self._withdraw_frozen(name))
+
+    def thaw_entry(self, name: str) -> None:
+        """Let a paused entry VM go on."""
+        self.processes[name].thaw()
+        self._sprayed.add(name)
+        self._spray()
+
+    async def isolate_zone(self, zone: str) -> None:
+        """Separate a zone from the other zones and from the platform."""
+        inside = self.deployment.hosts_of_zone(zone)
+        others = [self.deployment.hosts_of_zone(z) for z in self.deployment.zones() if z != zone]
+        outside = frozenset().union(*others) | {self.deployment.platform.host}
+        cuts = (LinkRule(inside, outside, Cut()), LinkRule(outside, inside, Cut()))
+        await self.set_rules(self._rules + cuts)
+
+    async def set_rules(self, rules: tuple[LinkRule, ...]) -> None:
+        """Put link faults in force everywhere; no rules heal all links."""
+        self._rules = rules
+        self.fabric.mailbox.put_nowait(SetRules(rules))
+        await asyncio.gather(*(process.set_rules(rules) for process in self.processes.values()))
+
+    async def add_rule(self, rule: LinkRule) -> None:
+        """Add one link fault."""
+        await self.set_rules((*self._rules, rule))
+
+    async def report(self) -> SiteReport:
+        """Return what callers and targets saw so far."""
+        targets = [await target.ask() for target in self.targets.values()]
+        return SiteReport(await self.callers.ask(), tuple(targets))
+
+    async def status(self, name: str) -> dict[str, object] | None:
+        """Return the status page of an entry VM, or None when it does not answer."""
+        body = await self.processes[name].fetch("/status")
+        return None if body is None else json.loads(body)
+
+    def running(self) -> list[str]:
+        """Return the names of the entry VMs that run and are not paused."""
+        pairs = self.processes.items()
+        return [name for name, process in pairs if process.is_running and not process.is_frozen]
+
+    def address(self, name: str) -> Endpoint:
+        """Return the endpoint of a named service address."""
+        base = yaml.safe_load(self.deployment.base)
+        for service in base["services"]:
+            for address in service["addresses"]:
+                if address["name"] == name:
+                    return endpoint_of(address["address"])
+        raise ValueError(f"{name}: no such address in the base file")
+
+    def _make_targets(self, seed: int) -> dict[str, TargetTask]:
+        targets: dict[str, TargetTask] = {}
+        for service in self.deployment.configuration.services:
+            addresses = frozenset(address.endpoint for address in service.addresses)
+            for target in service.targets:
+                seed += 1
+                serving = Serving(target.name, addresses, target.slots, seed)
+                targets[target.name] = TargetTask(
+                    target.tunnel, self.deployment.gateway, serving, target.load_endpoint
+                )
+        return targets
+
+    def _write_settings(self, name: str, settings: str) -> Path:
+        path = Path(self._folder.name) / f"{name}.yaml"
+        path.write_text(settings, encoding="utf-8")
+        return path
+
+    def _list_members(self) -> None:
+        listed = []
+        for member in self.deployment.members:
+            if member.name in self._listed:
+                state = "leaving" if member.name in self._leaving else "live"
+                listed.append(member.model_copy(update={"state": state}).model_dump())
+        key = f"fuchsiaspread/members/{self.deployment.site}"
+        self.platform.publish(key, json.dumps(listed).encode())
+
+    def _withdraw(self, name: str) -> None:
+        if not self.processes[name].is_running or name in self._leaving:
+            self._sprayed.discard(name)
+            self._spray()
+
+    def _withdraw_frozen(self, name: str) -> None:
+        if self.processes[name].is_frozen:
+            self._sprayed.discard(name)
+            self._spray()
+
+    def _spray(self) -> None:
+        entries = [e.listen for e in self.deployment.entries if e.name in self._sprayed]
+        self.fabric.mailbox.put_nowait(SetEntries(tuple(entries)))
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        async def act() -> None:
+            await asyncio.sleep(delay_s)
+            action()
+
+        task = asyncio.create_task(act())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
--- a/packages/standins/src/fuchsiaspread_standins/internal/calling.py
+++ b/packages/standins/src/fuchsiaspread_standins/internal/calling.py
@@ -90,6 +90,7 @@
         self._count = 0
         self._ports: dict[int, int] = {}
         self.opened_count = 0
+        self.opened_stream_count = 0
         self.answered_messages = 0
         self.sent: list[Segment] = []
         self.ended: list[FlowEnded] = []
@@ -162,6 +163,7 @@
                 case Opened():
                     flow.is_open = True
                     self.opened_count += 1
+                    self.opened_stream_count += flow.is_stream
                     self._send_message(now_ms, flow)
                 case Delivered(data):
                     self._read(now_ms, flow, data)
--- a/packages/standins/src/fuchsiaspread_standins/internal/faults.py
+++ b/packages/standins/src/fuchsiaspread_standins/internal/faults.py
@@ -1,7 +1,8 @@
 """Faults of the links between hosts, planned without input or output."""
 
+import json
 import random
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import assert_never
 
 
@@ -40,6 +41,7 @@
 
 
 LinkFault = Cut | Lose | Delay | Duplicate | Reorder
+_FAULTS_BY_NAME = {fault.__name__: fault for fault in (Cut, Lose, Delay, Duplicate, Reorder)}
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +92,30 @@
                 case _:
                     assert_never(rule.fault)
         return delays
+
+
+def encode_rules(rules: tuple[LinkRule, ...]) -> bytes:
+    """Return the JSON form of rules, which crosses to the process that applies them."""
+    return json.dumps(
+        [
+            {
+                "sources": sorted(rule.sources),
+                "destinations": sorted(rule.destinations),
+                "fault": type(rule.fault).__name__,
+                "values": asdict(rule.fault),
+            }
+            for rule in rules
+        ]
+    ).encode()
+
+
+def decode_rules(encoded: bytes) -> tuple[LinkRule, ...]:
+    """Return the rules of a JSON form that `encode_rules` made."""
+    return tuple(
+        LinkRule(
+            frozenset(body["sources"]),
+            frozenset(body["destinations"]),
+            _FAULTS_BY_NAME[body["fault"]](**body["values"]),
+        )
+        for body in json.loads(encoded)
+    )
--- a/packages/standins/src/fuchsiaspread_standins/transport.py
+++ b/packages/standins/src/fuchsiaspread_standins/transport.py
@@ -1,12 +1,30 @@
 """A TCP connection as a state machine without input or output."""
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from enum import Enum, auto
 from typing import assert_never
 
 from fuchsiaspread_core.identifiers import Endpoint
 
+from .internal.connection_messages import (
+    Abort,
+    Arrived,
+    Close,
+    Connect,
+    Delivered,
+    Event,
+    Finished,
+    GaveUp,
+    Opened,
+    Output,
+    PeerClosed,
+    Refused,
+    TimerExpired,
+    Transmit,
+    WasReset,
+    Write,
+)
 from .internal.segments import (
     ACK,
     FIN,
@@ -19,6 +37,28 @@
     reset_for,
 )
 
+__all__ = [
+    "Abort",
+    "Arrived",
+    "Close",
+    "Connect",
+    "Connection",
+    "Delivered",
+    "Event",
+    "Finished",
+    "GaveUp",
+    "Opened",
+    "Output",
+    "PeerClosed",
+    "Refused",
+    "Signal",
+    "State",
+    "TimerExpired",
+    "Transmit",
+    "WasReset",
+    "Write",
+]
+
 SEGMENT_DATA_BYTES = 1200
 IN_FLIGHT_LIMIT = 32
 FIRST_TIMEOUT_MS = 200
@@ -69,90 +109,6 @@
 SENDING_STATES = frozenset({State.ESTABLISHED, State.CLOSE_WAIT})
 
 
-@dataclass(frozen=True, slots=True)
-class Connect:
-    """Open the connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class Arrived:
-    """Report a segment from the peer."""
-
-    segment: Segment
-
-
-@dataclass(frozen=True, slots=True)
-class Write:
-    """Send data to the peer."""
-
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Close:
-    """End the own side once all data is sent."""
-
-
-@dataclass(frozen=True, slots=True)
-class Abort:
-    """Give the connection up with a reset."""
-
-
-@dataclass(frozen=True, slots=True)
-class TimerExpired:
-    """Report that the time in `timer_ms` was reached."""
-
-
-Event = Connect | Arrived | Write | Close | Abort | TimerExpired
-
-
-@dataclass(frozen=True, slots=True)
-class Transmit:
-    """Send a segment to the peer."""
-
-    segment: Segment
-
-
-@dataclass(frozen=True, slots=True)
-class Opened:
-    """Report that the handshake is complete."""
-
-
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    """Hand received data to the application, in order."""
-
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class PeerClosed:
-    """Report that the peer ended its side."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Report that the open was refused by a reset that acknowledges the SYN."""
-
-
-@dataclass(frozen=True, slots=True)
-class WasReset:
-    """Report that the peer reset the connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class GaveUp:
-    """Report that the peer did not answer any retransmission."""
-
-
-@dataclass(frozen=True, slots=True)
-class Finished:
-    """Report that both sides ended."""
-
-
-Output = Transmit | Opened | Delivered | PeerClosed | Refused | WasReset | GaveUp | Finished
-
-
 class Connection:
     """Hold one connection; `timer_ms` tells when `TimerExpired` is due, if at all."""
 
@@ -222,6 +178,7 @@
             self._acknowledge(now_ms, segment.acknowledges)
             self.state = TRANSITIONS[self.state, Signal.HANDSHAKE]
             outputs += [Transmit(self._segment(ACK, self._send_next)), Opened()]
+            self._flush(now_ms, outputs)
 
     def _arrive_synchronized(self, now_ms: int, segment: Segment, outputs: list[Output]) -> None:
         if segment.flags & RST:
--- a/packages/standins/tests/integration/test_direct_path.py
+++ b/packages/standins/tests/integration/test_direct_path.py
@@ -6,7 +6,13 @@
 import unittest
 
 from fuchsiaspread_core.identifiers import Endpoint
-from fuchsiaspread_standins.caller import CallerTask, EndStreams, StartRequest, StartStream
+from fuchsiaspread_standins.caller import (
+    CallerTask,
+    EndStreams,
+    FlowCounts,
+    StartRequest,
+    StartStream,
+)
 from fuchsiaspread_standins.fabric import Fabric, SetEntries
 from fuchsiaspread_standins.internal.datagrams import Datagrams, DatagramTask
 from fuchsiaspread_standins.internal.serving import Serving
@@ -64,7 +70,7 @@
             self.callers.mailbox.put_nowait(
                 StartRequest(SERVICE, 5, 9000, body_bytes=5000, answer_bytes=9000)
             )
-        self.assertTrue(await self.callers.wait_for(60, 60, LIMIT_S))
+        self.assertTrue(await self.callers.wait_for(FlowCounts(ended_requests=60), LIMIT_S))
         report = await self.callers.ask()
         self.assertEqual({"Answered": 60}, dict(report.outcomes()))
         executed = [await target.ask() for target in self.targets]
@@ -73,9 +79,9 @@
     async def test_streams_stay_until_they_are_ended(self):
         for _ in range(300):
             self.callers.mailbox.put_nowait(StartStream(SERVICE, 20, 9000))
-        self.assertTrue(await self.callers.wait_for(300, 0, LIMIT_S))
+        self.assertTrue(await self.callers.wait_for(FlowCounts(opened_streams=300), LIMIT_S))
         self.callers.mailbox.put_nowait(EndStreams())
-        self.assertTrue(await self.callers.wait_for(300, 300, LIMIT_S))
+        self.assertTrue(await self.callers.wait_for(FlowCounts(ended_streams=300), LIMIT_S))
         report = await self.callers.ask()
         self.assertEqual({"Answered": 300}, dict(report.outcomes()))
         self.assertGreaterEqual(report.answered_messages, 300)
--- /dev/null
+++ b/packages/standins/tests/standins/test_transport.py
@@ -0,0 +1,162 @@
+"""The TCP state machine over a network that loses, repeats and reorders segments."""
+
+import heapq
+import itertools
+import random
+import unittest
+
+from fuchsiaspread_core.identifiers import Endpoint
+from fuchsiaspread_standins.internal.segments import ACK, RST, SYN, Segment, decode, encode
+from fuchsiaspread_standins.transport import (
+    Abort,
+    Arrived,
+    Close,
+    Connect,
+    Connection,
+    Delivered,
+    Finished,
+    Opened,
+    PeerClosed,
+    Refused,
+    State,
+    TimerExpired,
+    Transmit,
+    WasReset,
+    Write,
+)
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+CALLER, SERVICE = Endpoint("10.30.0.1", 4000), Endpoint("10.20.0.1", 7001)
+CALLER_TOKEN, TARGET_TOKEN = 0xFFFFFFF0, 500
+STEP_LIMIT = 20_000
+
+
+class Pair:
+    """Joins a caller and a target by a network with seeded faults and a virtual clock."""
+
+    def __init__(self, seed, loss, repeat, longest_delay_ms):
+        self.random = random.Random(seed)
+        self.loss, self.repeat, self.longest_delay_ms = loss, repeat, longest_delay_ms
+        self.caller = Connection(CALLER, SERVICE, CALLER_TOKEN)
+        self.target = Connection(SERVICE, CALLER, TARGET_TOKEN)
+        self.received = {CALLER: bytearray(), SERVICE: bytearray()}
+        self.seen = {CALLER: [], SERVICE: []}
+        self.events, self.order, self.now_ms = [], itertools.count(), 0
+
+    def act(self, end, event):
+        for output in end.handle(self.now_ms, event):
+            match output:
+                case Transmit(segment):
+                    self.carry(segment)
+                case Delivered(data):
+                    self.received[end.local] += data
+                case _:
+                    self.seen[end.local].append(output)
+
+    def carry(self, segment):
+        copies = 1 + (self.random.random() < self.repeat)
+        for _ in range(copies):
+            if self.random.random() >= self.loss:
+                at_ms = self.now_ms + self.random.randint(0, self.longest_delay_ms)
+                heapq.heappush(self.events, (at_ms, next(self.order), encode(segment)))
+
+    def run(self):
+        for _ in range(STEP_LIMIT):
+            ends = [end for end in (self.caller, self.target) if end.timer_ms is not None]
+            timer_ms = min((end.timer_ms for end in ends), default=None)
+            if self.events and (timer_ms is None or self.events[0][0] <= timer_ms):
+                self.now_ms, _, packet = heapq.heappop(self.events)
+                segment = decode(packet)
+                end = self.target if segment.destination == SERVICE else self.caller
+                self.act(end, Arrived(segment))
+            elif timer_ms is not None:
+                self.now_ms = timer_ms
+                for end in ends:
+                    self.act(end, TimerExpired())
+            else:
+                return
+            if PeerClosed() in self.seen[SERVICE] and self.target.state is State.CLOSE_WAIT:
+                self.act(self.target, Close())
+
+
+class Delivery(unittest.TestCase):
+    """Guards against a transport that loses, repeats or reorders the data of a flow."""
+
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(
+        st.integers(0, 2**16),
+        st.floats(0, 0.2),
+        st.floats(0, 0.4),
+        st.integers(0, 120),
+        st.binary(max_size=30_000),
+    )
+    def test_data_arrives_whole_and_in_order(self, seed, loss, repeat, delay_ms, data):
+        pair = Pair(seed, loss, repeat, delay_ms)
+        pair.act(pair.caller, Connect())
+        pair.act(pair.caller, Write(data))
+        pair.act(pair.target, Write(data[::-1]))
+        pair.act(pair.caller, Close())
+        pair.run()
+        self.assertEqual(data, bytes(pair.received[SERVICE]))
+        self.assertEqual(data[::-1], bytes(pair.received[CALLER]))
+        self.assertIn(Opened(), pair.seen[CALLER])
+        self.assertEqual(State.CLOSED, pair.target.state)
+
+    def test_both_ends_finish(self):
+        pair = Pair(1, 0, 0, 5)
+        pair.act(pair.caller, Connect())
+        pair.act(pair.caller, Close())
+        pair.run()
+        self.assertEqual([Opened(), PeerClosed(), Finished()], pair.seen[CALLER])
+        self.assertEqual([Opened(), PeerClosed(), Finished()], pair.seen[SERVICE])
+
+
+class Resets(unittest.TestCase):
+    """Guards against a caller that believes a reset which does not belong to its connection."""
+
+    def setUp(self):
+        self.pair = Pair(1, 0, 0, 0)
+
+    def open(self):
+        self.pair.act(self.pair.caller, Connect())
+        self.pair.run()
+        self.assertEqual(State.ESTABLISHED, self.pair.caller.state)
+
+    def reset(self, sequence, acknowledges=0, flags=RST):
+        return Arrived(Segment(SERVICE, CALLER, flags, sequence, acknowledges))
+
+    def test_a_reset_of_an_opening_flow_must_acknowledge_the_syn(self):
+        caller = self.pair.caller
+        caller.handle(0, Connect())
+        self.assertEqual([], caller.handle(0, self.reset(0, CALLER_TOKEN + 2, RST | ACK)))
+        self.assertEqual([], caller.handle(0, self.reset(0)))
+        self.assertEqual(State.SYN_SENT, caller.state)
+        answer = caller.handle(0, self.reset(0, CALLER_TOKEN + 1, RST | ACK))
+        self.assertEqual([Refused()], answer)
+
+    def test_a_refusal_after_the_handshake_is_ignored(self):
+        self.open()
+        late = self.reset(0, CALLER_TOKEN + 1, RST | ACK)
+        self.assertEqual([], self.pair.caller.handle(0, late))
+        self.assertEqual(State.ESTABLISHED, self.pair.caller.state)
+
+    def test_a_reset_inside_the_window_is_challenged_and_an_exact_one_counts(self):
+        self.open()
+        (challenge,) = self.pair.caller.handle(0, self.reset(TARGET_TOKEN + 9))
+        self.assertEqual(ACK, challenge.segment.flags)
+        answer = self.pair.caller.handle(0, self.reset(TARGET_TOKEN + 1))
+        self.assertEqual([WasReset()], answer)
+
+    def test_a_wrong_acknowledgement_of_an_open_is_answered_with_its_sequence_number(self):
+        target = self.pair.target
+        target.handle(0, Arrived(Segment(CALLER, SERVICE, SYN, 10)))
+        (answer,) = target.handle(0, Arrived(Segment(CALLER, SERVICE, ACK, 11, 77)))
+        self.assertEqual((RST, 77), (answer.segment.flags, answer.segment.sequence))
+        self.assertEqual(State.SYN_RECEIVED, target.state)
+
+    def test_an_aborted_flow_resets_its_peer(self):
+        self.open()
+        self.pair.act(self.pair.caller, Abort())
+        self.pair.run()
+        self.assertEqual(WasReset(), self.pair.seen[SERVICE][-1])
