Keep the daemon running when a report fails

Change: a failed question is logged, counted and answered with 503 or UNAVAILABLE; the parts are read by their present names.

--- a/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -77,6 +77,10 @@
     reply: Future[dict[str, object] | None]
 
 
+class QuestionFailed(Exception):
+    """Tell the asker that the core task could not answer; the log has the cause."""
+
+
 CoreQuestion = PartsAsked | StatusAsked | ReadinessAsked | BurnAsked | FlowAsked | TargetAsked
 CoreMessage = PacketsReceived | EventsReceived | TickDue | CoreQuestion
 
--- a/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -20,6 +20,7 @@
     CountsReported,
     FlowAsked,
     PlatformReached,
+    QuestionFailed,
     ReadinessAsked,
     StatusAsked,
     TargetAsked,
@@ -100,7 +101,7 @@
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await question.reply
-        except TimeoutError:
+        except (TimeoutError, QuestionFailed):
             return None
 
     async def status(self) -> Body | None:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -45,6 +45,7 @@
     PacketsReceived,
     PartsAsked,
     PeerSends,
+    QuestionFailed,
     ReadinessAsked,
     ServiceHostsChanged,
     StatusAsked,
@@ -228,21 +229,26 @@
         self._mailboxes.peer.put(changed)
         self._mailboxes.peer_service.put(changed)
 
-    def _note_failure(self, event: Event, error: Exception) -> None:
+    def _note_failure(self, cause: Event | CoreQuestion, error: Exception) -> None:
         self._reporter.counts[FAILED_EVENT] += 1
-        fields = {"kind": type(event).__name__, "cause": repr(error)}
+        fields = {"kind": type(cause).__name__, "cause": repr(error)}
         self._log.write(Level.ERROR, "event_failed", **fields)
 
     def _answer_once(self, now_ms: int, question: CoreQuestion) -> None:
         # The asker has given up when its time limit has passed.
-        if not question.reply.done():
+        if question.reply.done():
+            return
+        try:
             self._answer(now_ms, question)
+        except Exception as error:
+            # A fault in a report must not end the forwarding of packets.
+            self._note_failure(question, error)
+            question.reply.set_exception(QuestionFailed())
 
     def _answer(self, now_ms: int, question: CoreQuestion) -> None:
         match question:
             case PartsAsked(reply=reply):
-                revisions = self._core.revisions
-                reply.set_result((revisions.in_force_parts, revisions.newest_parts))
+                reply.set_result((self._core.in_force_parts, self._core.newest_parts))
             case StatusAsked(reply=reply):
                 reply.set_result(status_body(self._identity.site, self._core.status(now_ms)))
             case ReadinessAsked(reply=reply):
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -26,6 +26,7 @@
     KeysChanged,
     PartsAsked,
     PeerServiceMessage,
+    QuestionFailed,
 )
 from ..messages.peer_grpc import PeerServiceBase
 from ..messages.peer_pb2 import (
@@ -99,7 +100,7 @@
         try:
             async with asyncio.timeout(CORE_ANSWER_TIMEOUT_S):
                 in_force, newest = await question.reply
-        except TimeoutError:
+        except (TimeoutError, QuestionFailed):
             raise GRPCError(Status.UNAVAILABLE, "busy") from None
         await self._reply(stream, "FetchParts", proof, encode_parts(in_force, newest))
 
