Bind peer messages to the receiver's boot and test the tasks

Cause: a restarted entry VM has no replay windows, so that recorded datagrams could be replayed to it; the tasks had no tests of their own; every watch of a fleet called a platform that was down.

--- a/packages/entry/src/fuchsiaspread_entry/internal/authentication.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/authentication.py
@@ -88,6 +88,11 @@
         window.seen |= bit
         return True
 
+    def boot_of(self, sender: EntryName) -> int:
+        """Return the newest boot of a sender, or 0."""
+        window = self._windows.get(sender)
+        return 0 if window is None else window.boot
+
     def retain(self, senders: frozenset[EntryName]) -> None:
         """Forget senders that are no longer known, so that the state stays bounded."""
         self._windows = {name: window for name, window in self._windows.items() if name in senders}
--- a/packages/entry/src/fuchsiaspread_entry/internal/log.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/log.py
@@ -35,9 +35,15 @@
 class Log:
     """Write events above a level, each kind of event at a bounded rate."""
 
-    def __init__(self, level: Level, now_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        level: Level,
+        now_ms: Callable[[], int],
+        write: Callable[..., None] = eliot.log_message,
+    ) -> None:
         self.level = level
         self._now_ms = now_ms
+        self._write = write
         self._buckets: dict[str, _Bucket] = {}
 
     def write(self, level: Level, event: str, **fields: object) -> None:
@@ -51,7 +57,7 @@
         bucket.tokens -= 1
         if bucket.suppressed:
             fields["suppressed_lines"], bucket.suppressed = bucket.suppressed, 0
-        eliot.log_message(message_type=event, level=level.name.lower(), **fields)
+        self._write(message_type=event, level=level.name.lower(), **fields)
 
     def _bucket(self, event: str) -> _Bucket:
         now_ms = self._now_ms()
--- a/packages/entry/src/fuchsiaspread_entry/internal/mailbox.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/mailbox.py
@@ -14,6 +14,11 @@
         self._messages: list[Message] = []
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many messages wait."""
+        return len(self._messages)
+
     def put(self, message: Message) -> bool:
         """Add a message; return False when the mailbox is full and the message is dropped."""
         if len(self._messages) >= self._limit:
--- a/packages/entry/src/fuchsiaspread_entry/internal/mailboxes.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/mailboxes.py
@@ -10,6 +10,7 @@
     LoadEndpointsChanged,
     PeerServiceMessage,
     PeerTaskMessage,
+    RefreshAsked,
 )
 
 # A batch holds up to 64 packets; more waiting batches than this add delay instead of throughput.
@@ -28,4 +29,5 @@
         default_factory=lambda: Mailbox(MESSAGE_LIMIT)
     )
     load: Mailbox[LoadEndpointsChanged] = field(default_factory=lambda: Mailbox(MESSAGE_LIMIT))
+    platform: Mailbox[RefreshAsked] = field(default_factory=lambda: Mailbox(MESSAGE_LIMIT))
     admin: Mailbox[AdminMessage] = field(default_factory=lambda: Mailbox(MESSAGE_LIMIT))
--- a/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
@@ -43,6 +43,7 @@
         self._boot = boot
         self._sequence = 0
         self.keyring = keyring
+        self.boots: dict[EntryName, int] = {}
 
     async def fetch_parts(self, peer: Member) -> PartsReceived | Unreachable:
         """Fetch the configuration parts of a peer."""
@@ -76,7 +77,8 @@
     ) -> Message | Unreachable:
         self._sequence += 1
         digest = digest_of(request.SerializeToString(deterministic=True))
-        proof = CallProof(self._me, peer.name, self._boot, self._sequence, digest)
+        receiver_boot = self.boots.get(peer.name, 0)
+        proof = CallProof(self._me, peer.name, self._boot, self._sequence, digest, receiver_boot)
         metadata = sign_call(self.keyring, method.name, proof)
         try:
             async with method.open(timeout=CALL_TIMEOUT_S, metadata=metadata) as stream:
--- a/packages/entry/src/fuchsiaspread_entry/internal/proof.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/proof.py
@@ -16,13 +16,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CallProof:
-    """Hold what the proof of a call covers; `digest` is the hash of the request."""
+    """Hold what the proof of a call covers; `digest` is the hash of the request.
+
+    `receiver_boot` is the receiver's boot as the sender last heard it, or 0.
+    """
 
     sender: EntryName
     receiver: EntryName
     boot: int
     sequence: int
     digest: bytes
+    receiver_boot: int = 0
 
 
 def digest_of(content: bytes) -> bytes:
@@ -38,6 +42,7 @@
         f"{HEADER_PREFIX}boot": str(proof.boot),
         f"{HEADER_PREFIX}sequence": str(proof.sequence),
         f"{HEADER_PREFIX}digest": proof.digest.hex(),
+        f"{HEADER_PREFIX}receiver-boot": str(proof.receiver_boot),
         f"{HEADER_PREFIX}key": str(keyring.signing_id),
         f"{HEADER_PREFIX}tag": keyring.tag(_covered(method, proof)).hex(),
     }
@@ -53,26 +58,26 @@
         return PeerFault.MALFORMED
     if not (_is_name(texts["sender"]) and _is_name(texts["receiver"])):
         return PeerFault.MALFORMED
-    numbers = [texts[name] for name in ("boot", "sequence", "key")]
+    numbers = [texts[name] for name in ("boot", "sequence", "receiver-boot", "key")]
     if not all(map(_is_number, numbers)):
         return PeerFault.MALFORMED
     digest = _bytes_of(texts["digest"], DIGEST_LENGTH_BYTES)
     tag = _bytes_of(texts["tag"], TAG_LENGTH_BYTES)
     if digest is None or tag is None:
         return PeerFault.MALFORMED
-    boot, sequence, key_id = map(int, numbers)
+    boot, sequence, receiver_boot, key_id = map(int, numbers)
     sender, receiver = EntryName(texts["sender"]), EntryName(texts["receiver"])
-    proof = CallProof(sender, receiver, boot, sequence, digest)
+    proof = CallProof(sender, receiver, boot, sequence, digest, receiver_boot)
     fault = keyring.check(key_id, tag, _covered(method, proof))
     return proof if fault is None else fault
 
 
-FIELD_NAMES = ("sender", "receiver", "boot", "sequence", "digest", "key", "tag")
+FIELD_NAMES = ("sender", "receiver", "boot", "sequence", "digest", "receiver-boot", "key", "tag")
 
 
 def _covered(method: str, proof: CallProof) -> bytes:
     # A line for each field, since none of them can hold a line break.
-    numbers = (str(proof.boot), str(proof.sequence), proof.digest.hex())
+    numbers = (str(proof.boot), str(proof.sequence), str(proof.receiver_boot), proof.digest.hex())
     return "\n".join((method, proof.sender, proof.receiver, *numbers)).encode()
 
 
--- a/packages/entry/src/fuchsiaspread_entry/internal/reporting.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/reporting.py
@@ -19,12 +19,16 @@
 
     def start(self) -> None:
         """Hand over what was counted since the last report, now and at every interval."""
-        if self.counts and self._admin.put(CountsReported(self.counts)):
-            self.counts = Counts()
+        self._report()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(REPORT_INTERVAL_S, self.start)
 
     def stop(self) -> None:
-        """Stop the reports."""
+        """Hand over the rest and stop the reports."""
         if self._timer is not None:
             self._timer.cancel()
+        self._report()
+
+    def _report(self) -> None:
+        if self.counts and self._admin.put(CountsReported(self.counts)):
+            self.counts = Counts()
--- a/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -6,7 +6,7 @@
 
 from fuchsiaspread_core.effects import FetchParts, SendControl, SendRecords, SendToPeer
 from fuchsiaspread_core.events import Event, PacketEvent
-from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, FlowKey, TargetName
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import Part
 
@@ -123,8 +123,16 @@
     sends: Sequence[SendToPeer | SendControl]
 
 
+@dataclass(frozen=True, slots=True)
+class BootHeard:
+    """Tell the boot number that another entry VM has proven."""
+
+    peer: EntryName
+    boot: int
+
+
 PeerTaskMessage = PeerSends | DirectoryChanged | KeysChanged
-PeerServiceMessage = FetchParts | SendRecords | DirectoryChanged | KeysChanged
+PeerServiceMessage = FetchParts | SendRecords | BootHeard | DirectoryChanged | KeysChanged
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +142,11 @@
     endpoints: tuple[tuple[TargetName, Endpoint], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RefreshAsked:
+    """Ask the platform task to read all keys now, without waiting for a change."""
+
+
 @dataclass(frozen=True, slots=True)
 class CountsReported:
     """Hand counts since the last report to the admin task."""
--- a/packages/entry/src/fuchsiaspread_entry/peer_codec.py
+++ b/packages/entry/src/fuchsiaspread_entry/peer_codec.py
@@ -51,6 +51,7 @@
     MALFORMED = "malformed"
     WRONG_RECEIVER = "wrong_receiver"
     UNKNOWN_SENDER = "unknown_sender"
+    FORMER_BOOT = "former_boot"
     REPLAYED = "replayed"
 
 
@@ -76,6 +77,7 @@
     sequence: int
     packets: tuple[RelayedPacket, ...] = ()
     controls: tuple[ControlMessage, ...] = ()
+    receiver_boot: int = 0
 
 
 def encode_message(message: PeerMessage) -> bytes:
@@ -85,6 +87,7 @@
         receiver=message.receiver,
         boot=message.boot,
         sequence=message.sequence,
+        receiver_boot=message.receiver_boot,
     )
     for packet in message.packets:
         _put_relay(encoded.packets.add(payload=packet.payload), packet.relay)
@@ -104,6 +107,7 @@
             encoded.sequence,
             tuple([RelayedPacket(_relay(item), item.payload) for item in encoded.packets]),
             tuple([_control(item) for item in encoded.controls]),
+            encoded.receiver_boot,
         )
     except (DecodeError, _Malformed):
         return PeerFault.MALFORMED
--- a/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -8,6 +8,7 @@
 
 from fuchsiaspread_core.identifiers import Endpoint, TargetName
 from tornado.httpserver import HTTPServer
+from tornado.httputil import responses
 from tornado.web import Application, RequestHandler
 
 from ..internal.flow_text import parse_flow
@@ -34,6 +35,7 @@
 BACKLOG = 100
 MAX_TARGET_NAME_LENGTH = 128
 FLOW_HINT = "write it as CALLER:PORT-SERVICE:PORT, for example 10.1.0.5:40000-10.20.0.1:7001"
+PATHS_HINT = "ask for /health, /ready, /status, /explain, /burn or /metrics with GET"
 QUESTION_HINT = "add ?flow=CALLER:PORT-SERVICE:PORT or ?target=NAME"
 
 Body = dict[str, object]
@@ -139,10 +141,7 @@
                 assert_never(message)
 
 
-class _TaskHandler(RequestHandler):
-    def initialize(self, task: AdminTask) -> None:
-        self.task = task
-
+class _JsonHandler(RequestHandler):
     def answer(self, body: Body | bool | None, status: int = 200) -> None:
         """Write a JSON body, or 503 when the core task did not answer."""
         self.set_header("Content-Type", "application/json")
@@ -151,11 +150,20 @@
         self.set_status(status)
         self.finish(json.dumps(body))
 
+    def write_error(self, status_code: int, **_: object) -> None:
+        """Answer errors of the HTTP layer in the form of the other answers."""
+        reason = responses.get(status_code, "unknown error")
+        self.answer(_problem(f"HTTP {status_code}: {reason}", PATHS_HINT), status_code)
 
-class _HealthHandler(RequestHandler):
+
+class _TaskHandler(_JsonHandler):
+    def initialize(self, task: AdminTask) -> None:
+        self.task = task
+
+
+class _HealthHandler(_JsonHandler):
     def get(self) -> None:
-        self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps({"healthy": True}))
+        self.answer({"healthy": True})
 
 
 class _ReadyHandler(_TaskHandler):
@@ -197,11 +205,9 @@
             self.answer(_problem("explain: neither flow nor target given", QUESTION_HINT), 400)
 
 
-class _UnknownPathHandler(RequestHandler):
+class _UnknownPathHandler(_JsonHandler):
     def prepare(self) -> None:
-        self.set_status(404)
-        paths = "/health, /ready, /status, /explain, /burn, /metrics"
-        self.finish(json.dumps(_problem(f"no such path: {self.request.path}", f"ask for {paths}")))
+        self.answer(_problem(f"no such path: {self.request.path}", PATHS_HINT), 404)
 
 
 def _problem(problem: str, next_step: str) -> Body:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -22,7 +22,7 @@
 from fuchsiaspread_core.events import ControlReceived, Event, MembersPublished, PacketEvent, Tick
 from fuchsiaspread_core.identifiers import Endpoint
 from fuchsiaspread_core.members import Member
-from fuchsiaspread_core.notices import ConfigurationApplied, Notice
+from fuchsiaspread_core.notices import ConfigurationApplied, Notice, ViewBecameStale
 from fuchsiaspread_core.objectives import ObjectiveCounters
 from fuchsiaspread_core.parts import Compile
 
@@ -47,6 +47,7 @@
     PeerSends,
     QuestionFailed,
     ReadinessAsked,
+    RefreshAsked,
     ServiceHostsChanged,
     StatusAsked,
     TargetAsked,
@@ -202,8 +203,11 @@
         self._reporter.counts[count_key(notice)] += 1
         log_notice(self._log, notice)
         self._objectives.record(now_ms, notice)
-        if isinstance(notice, ConfigurationApplied):
-            self._tell_configuration()
+        match notice:
+            case ConfigurationApplied():
+                self._tell_configuration()
+            case ViewBecameStale():
+                self._mailboxes.platform.put(RefreshAsked())
 
     def _tell_configuration(self) -> None:
         configuration = self._core.configuration
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -21,6 +21,7 @@
 from ..internal.proof import CallProof, check_call, digest_of, sign_call
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
+    BootHeard,
     DirectoryChanged,
     EventsReceived,
     KeysChanged,
@@ -57,6 +58,7 @@
     ) -> None:
         self._mailbox = mailboxes.peer_service
         self._me = me
+        self._boot = boot
         self._core = mailboxes.core
         self._log = log
         self._keyring = keyring
@@ -126,6 +128,8 @@
             raise self._refuse(PeerFault.WRONG_RECEIVER, Status.UNAUTHENTICATED)
         if proof.sender not in self._members:
             raise self._refuse(PeerFault.UNKNOWN_SENDER, Status.UNAUTHENTICATED)
+        if proof.receiver_boot not in (0, self._boot):
+            raise self._refuse(PeerFault.FORMER_BOOT, Status.UNAUTHENTICATED)
         if not self._windows.accept(proof.sender, proof.boot, proof.sequence):
             raise self._refuse(PeerFault.REPLAYED, Status.UNAUTHENTICATED)
         if self._call_count >= MAX_CALLS:
@@ -165,8 +169,12 @@
                 elif peer in self._members:
                     self._transfers[peer] = [message]
                     calls.create_task(self._transfer(self._members[peer]))
+            case BootHeard(peer=peer, boot=boot):
+                self._caller.boots[peer] = boot
             case DirectoryChanged(members=members):
                 self._members = {member.name: member for member in members}
+                boots = self._caller.boots
+                self._caller.boots = {name: boots[name] for name in boots if name in self._members}
                 self._windows.retain(frozenset(self._members))
             case KeysChanged(keyring=keyring):
                 self._keyring = self._caller.keyring = keyring
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
@@ -15,6 +15,7 @@
 from ..internal.mailboxes import Mailboxes
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
+    BootHeard,
     DirectoryChanged,
     EventsReceived,
     KeysChanged,
@@ -58,6 +59,7 @@
         self._sequence = 0
         self._keyring = keyring
         self._core = mailboxes.core
+        self._peer_service = mailboxes.peer_service
         self._addresses: dict[EntryName, Endpoint] = {}
         self._windows = ReplayWindows()
         self._reporter = Reporter(mailboxes.admin)
@@ -123,7 +125,10 @@
             self._reporter.counts[dropped("unknown_peer")] += 1
             return
         self._sequence += 1
-        message = PeerMessage(self._me, peer, self._boot, self._sequence, packets, controls)
+        receiver_boot = self._windows.boot_of(peer)
+        message = PeerMessage(
+            self._me, peer, self._boot, self._sequence, packets, controls, receiver_boot
+        )
         datagram = self._keyring.seal(encode_message(message))
         if self._socket.send_all([(datagram, address)]):
             self._reporter.counts[dropped("send_failed")] += 1
@@ -163,8 +168,18 @@
             return PeerFault.WRONG_RECEIVER
         if message.sender not in self._addresses and not _introduces_itself(message):
             return PeerFault.UNKNOWN_SENDER
+        if message.receiver_boot not in (0, self._boot):
+            # Sent before this process began, so its numbers cannot be checked against a window.
+            # An empty message tells a sender that has not heard of the restart the new boot; an
+            # empty one is not answered, so that two entry VMs never answer each other in turn.
+            if message.packets or message.controls:
+                self._send_message(message.sender, CONTROL_BYTES_SENT, ())
+            return PeerFault.FORMER_BOOT
+        known_boot = self._windows.boot_of(message.sender)
         if not self._windows.accept(message.sender, message.boot, message.sequence):
             return PeerFault.REPLAYED
+        if message.boot != known_boot:
+            self._peer_service.put(BootHeard(message.sender, message.boot))
         return message
 
     def _collect(self, message: PeerMessage, events: list[PacketEvent]) -> None:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
@@ -23,18 +23,18 @@
 )
 from ..internal.log import Level, Log
 from ..internal.mailboxes import Mailboxes
+from ..internal.retry_turns import RetryTurns
 from ..internal.task_messages import EventsReceived, PlatformReached
 
 # Each return without a change costs one call. 5,400 daemons with 3 keys make 270 calls a second,
 # of the 2,000 that the platform serves; a longer wait would hide a dead platform for longer.
 WAIT_S = 60
 # Consul adds up to a sixteenth of the wait time; the rest covers a slow answer.
-REQUEST_TIMEOUT_S = WAIT_S * 17 / 16 + 10
+WATCH_S = WAIT_S * 17 / 16 + 10
+READ_S = 2.0
 CONNECT_TIMEOUT_S = 2.0
 # Without a pause a platform that answers at once with old data would be called in a loop.
 MIN_PAUSE_S = 0.1
-MIN_BACK_OFF_S = 0.25
-MAX_BACK_OFF_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,52 +78,65 @@
         self._keys = watched_keys(site)
         self._platform = platform
         self._random = Random(seed)
+        self._mailbox = mailboxes.platform
         self._core = mailboxes.core
         self._admin = mailboxes.admin
         self._log = log
+        self._turns = RetryTurns(self._random)
         self._reachable: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        # Each key has a pending watch and at most one other read.
         client = SimpleAsyncHTTPClient(
-            force_instance=True, max_clients=len(self._keys), max_body_size=MAX_BODY_BYTES
+            force_instance=True, max_clients=2 * len(self._keys), max_body_size=MAX_BODY_BYTES
         )
         try:
             async with asyncio.TaskGroup() as watches:
+                watches.create_task(self._refresh(client))
                 for key in self._keys:
                     watches.create_task(self._watch(client, key))
         finally:
             client.close()
 
+    async def _refresh(self, client: AsyncHTTPClient) -> None:
+        """Read the keys when asked: after a pause, an answer proves that the view is fresh."""
+        while True:
+            await self._mailbox.take()
+            for key in self._keys:
+                address = self._random.choice(self._platform)
+                answer = await self._ask(client, watch_url(address, key.key, 0, WAIT_S), READ_S)
+                if isinstance(answer, Published):
+                    self._publish(key, answer)
+
     async def _watch(self, client: AsyncHTTPClient, key: WatchedKey) -> None:
         address_number, watch_index, seen_index = self._random.randrange(len(self._platform)), 0, 0
-        back_off_s = MIN_BACK_OFF_S
         while True:
             address = self._platform[address_number % len(self._platform)]
-            answer = await self._ask(client, watch_url(address, key.key, watch_index, WAIT_S))
+            url = watch_url(address, key.key, watch_index, WAIT_S)
+            answer = await self._ask(client, url, WATCH_S)
             self._note_reachability(key, address, answer)
             if isinstance(answer, BadAnswer):
-                address_number += 1
-                # Full jitter spreads the calls of a fleet that lost the platform together.
-                await asyncio.sleep(self._random.uniform(MIN_BACK_OFF_S, back_off_s))
-                back_off_s = min(back_off_s * 2, MAX_BACK_OFF_S)
                 # The index belongs to the server that gave it; another one may be behind.
-                watch_index = 0 if len(self._platform) > 1 else watch_index
+                address_number, watch_index = address_number + 1, 0
+                await self._turns.wait(key.key)
                 continue
-            back_off_s = MIN_BACK_OFF_S * 2
+            self._turns.note_success(key.key)
             watch_index = next_watch_index(watch_index, answer.watch_index)
             if isinstance(answer, Published) and answer.index != seen_index:
                 seen_index = answer.index
                 self._publish(key, answer)
             await asyncio.sleep(self._random.uniform(MIN_PAUSE_S, MIN_PAUSE_S * 2))
 
-    async def _ask(self, client: AsyncHTTPClient, url: str) -> Published | Missing | BadAnswer:
+    async def _ask(
+        self, client: AsyncHTTPClient, url: str, timeout_s: float
+    ) -> Published | Missing | BadAnswer:
         try:
             response = await client.fetch(
                 url,
                 raise_error=False,
                 connect_timeout=CONNECT_TIMEOUT_S,
-                request_timeout=REQUEST_TIMEOUT_S,
+                request_timeout=timeout_s,
                 follow_redirects=False,
             )
         except (HTTPError, OSError, ValueError) as error:
--- a/packages/entry/tests/entry/samples.py
+++ b/packages/entry/tests/entry/samples.py
@@ -105,4 +105,5 @@
     NUMBERS,
     st.lists(st.builds(RelayedPacket, RELAYS, st.binary(max_size=64)), max_size=3).map(tuple),
     st.lists(CONTROLS, max_size=3).map(tuple),
+    NUMBERS,
 )
--- /dev/null
+++ b/packages/entry/tests/entry/test_peer_service.py
@@ -0,0 +1,126 @@
+"""Guard the transfer of parts and records between entry VMs."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from fuchsiaspread_core.effects import FetchParts, SendRecords
+from fuchsiaspread_core.events import PartsReceived, RecordsReceived
+from fuchsiaspread_core.flow_table import FlowRecord, Phase
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, TargetName, ZoneName
+from fuchsiaspread_core.members import Member
+from fuchsiaspread_core.parts import Part, PartName
+from fuchsiaspread_entry.internal.authentication import Keyring
+from fuchsiaspread_entry.internal.log import Level, Log
+from fuchsiaspread_entry.internal.mailboxes import Mailboxes
+from fuchsiaspread_entry.internal.proof import CallProof, digest_of, sign_call
+from fuchsiaspread_entry.internal.task_messages import (
+    DirectoryChanged,
+    EventsReceived,
+    KeysChanged,
+    PartsAsked,
+)
+from fuchsiaspread_entry.messages.peer_grpc import PeerServiceStub
+from fuchsiaspread_entry.messages.peer_pb2 import FetchPartsRequest, TransferRecordsRequest
+from fuchsiaspread_entry.tasks.peer_service_task import PeerServiceTask
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
+from .running import events_of, reported, running
+from .samples import FLOW, NEW_KEY, OLD_KEY
+
+ANY_PORT = Endpoint("127.0.0.1", 0)
+ME, PEER = EntryName("entry-1"), EntryName("entry-2")
+PART = Part(PartName.BASE, 3, b"services: []")
+RECORD = FlowRecord(FLOW, TargetName("desk-1"), Phase.ESTABLISHED, 1, 2)
+METHOD = "/fuchsiaspread.peer.PeerService/TransferRecords"
+
+
+class PeerServiceTaskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        log = Log(Level.ERROR, lambda: 0)
+        self.mine, self.theirs = Mailboxes(), Mailboxes()
+        keyring = Keyring((OLD_KEY,))
+        self.task = PeerServiceTask(ME, ANY_PORT, 1, keyring, self.mine, log)
+        self.peer = PeerServiceTask(PEER, ANY_PORT, 1, keyring, self.theirs, log)
+        members = DirectoryChanged(
+            tuple(
+                Member(name, ZoneName("zone-a"), ANY_PORT, task.address)
+                for name, task in ((ME, self.task), (PEER, self.peer))
+            )
+        )
+        self.mine.peer_service.put(members)
+        self.theirs.peer_service.put(members)
+
+    async def test_parts_come_from_the_peers_core(self) -> None:
+        """Guards against a new entry VM without configuration while the platform is down."""
+        self.mine.peer_service.put(FetchParts(PEER))
+        async with running(self.task, self.peer):
+            question = None
+            while not isinstance(question, PartsAsked):
+                question = (await self.theirs.core.take())[-1]
+            question.reply.set_result(((), (PART,)))
+            events = await events_of(self.mine, 1)
+        self.assertEqual(events, [PartsReceived(PEER, (), (PART,))])
+
+    async def test_records_arrive_in_order_and_in_bounded_calls(self) -> None:
+        """Guards against a hand-over that ends before its last record has arrived."""
+        sends = [SendRecords(PEER, (RECORD,) * 4500, False), SendRecords(PEER, (), True)]
+        for send in sends:
+            self.mine.peer_service.put(send)
+        async with running(self.task, self.peer):
+            events = await events_of(self.theirs, 4)
+        received = [event for event in events if isinstance(event, RecordsReceived)]
+        self.assertEqual([len(event.records) for event in received], [2000, 2000, 500, 0])
+        self.assertEqual([event.is_last for event in received], [False, False, False, True])
+
+    async def test_key_rotation_leaves_calls_working(self) -> None:
+        """Guards against entry VMs that cannot hand over while keys are replaced."""
+        both = KeysChanged(Keyring((NEW_KEY, OLD_KEY)))
+        self.mine.peer_service.put(both)
+        self.theirs.peer_service.put(KeysChanged(Keyring((OLD_KEY, NEW_KEY))))
+        self.mine.peer_service.put(SendRecords(PEER, (RECORD,), True))
+        async with running(self.task, self.peer):
+            events = await events_of(self.theirs, 1)
+        self.assertEqual(events, [RecordsReceived(ME, (RECORD,), True)])
+
+    async def test_unproven_and_replayed_calls_are_refused(self) -> None:
+        """Guards against records or parts for a caller without the key."""
+        request = TransferRecordsRequest(is_last=True)
+        digest = digest_of(request.SerializeToString(deterministic=True))
+        proof = CallProof(ME, PEER, 1, 1, digest)
+        good = sign_call(Keyring((OLD_KEY,)), METHOD, proof)
+        stranger = CallProof(EntryName("entry-9"), PEER, 1, 2, digest)
+        former = CallProof(ME, PEER, 1, 5, digest, receiver_boot=99)
+        other_body = CallProof(ME, PEER, 1, 3, digest_of(b"other"))
+        bad = [
+            {},
+            good,
+            sign_call(Keyring((NEW_KEY,)), METHOD, proof),
+            sign_call(Keyring((OLD_KEY,)), METHOD, stranger),
+            sign_call(Keyring((OLD_KEY,)), METHOD, other_body),
+            sign_call(Keyring((OLD_KEY,)), METHOD, former),
+            sign_call(Keyring((OLD_KEY,)), "/other", CallProof(ME, PEER, 1, 4, digest)),
+        ]
+        async with running(self.peer), self._stub() as stub:
+            await stub.TransferRecords(request, metadata=good)
+            for metadata in bad:
+                with self.assertRaises(GRPCError) as refused:
+                    await stub.TransferRecords(request, metadata=metadata)
+                self.assertIs(refused.exception.status, Status.UNAUTHENTICATED)
+            with self.assertRaises(GRPCError):
+                await stub.FetchParts(FetchPartsRequest())
+        [received] = await self.theirs.core.take()
+        self.assertEqual(received, EventsReceived([RecordsReceived(ME, (), True)]))
+        counts = await reported(self.theirs)
+        self.assertEqual(sum(counts.values()), len(bad) + 1)
+
+    @asynccontextmanager
+    async def _stub(self) -> AsyncIterator[PeerServiceStub]:
+        # The directory must be taken before the first call.
+        while self.theirs.peer_service.waiting_count:
+            await asyncio.sleep(0)
+        async with Channel(*self.peer.address) as channel:
+            yield PeerServiceStub(channel)
--- /dev/null
+++ b/packages/entry/tests/entry/test_platform.py
@@ -0,0 +1,134 @@
+"""Guard the watches of the platform's keys."""
+
+import asyncio
+import base64
+import json
+import unittest
+from random import Random
+
+from fuchsiaspread_core.events import MembersPublished, PartPublished
+from fuchsiaspread_core.identifiers import Endpoint
+from fuchsiaspread_core.parts import Part, PartName
+from fuchsiaspread_entry.internal.consul import (
+    BadAnswer,
+    Missing,
+    Published,
+    decode_answer,
+    next_watch_index,
+)
+from fuchsiaspread_entry.internal.log import Level, Log
+from fuchsiaspread_entry.internal.mailboxes import Mailboxes
+from fuchsiaspread_entry.internal.retry_turns import RetryTurns
+from fuchsiaspread_entry.internal.task_messages import PlatformReached, RefreshAsked
+from fuchsiaspread_entry.tasks.platform_task import PlatformTask
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from .running import events_of, running
+
+BASE_KEY = "fuchsiaspread/base"
+MEMBER = {"name": "entry-1", "zone": "zone-a", "state": "live"}
+MEMBER |= {key: f"127.0.0.1:{port}" for port, key in enumerate(("peer", "control", "admin"), 1)}
+
+
+def pairs(content: bytes, index: int) -> bytes:
+    """Return the body of an answer with one pair."""
+    value = base64.b64encode(content).decode()
+    return json.dumps([{"Key": "k", "Value": value, "ModifyIndex": index, "Flags": 0}]).encode()
+
+
+class AnswerTest(unittest.TestCase):
+    def test_answers_follow_the_published_api(self) -> None:
+        """Guards against a part at the index of another change."""
+        self.assertEqual(decode_answer(200, "9", pairs(b"x", 5)), Published(b"x", 5, 9))
+        self.assertEqual(decode_answer(404, "9", b""), Missing(9))
+        for status, index, body in ((500, "9", b""), (200, "", b"[]"), (200, "9", b"[]")):
+            self.assertIsInstance(decode_answer(status, index, body), BadAnswer)
+
+    def test_index_that_goes_back_starts_afresh(self) -> None:
+        """Guards against a watch that waits for an index that a rebuilt platform lacks."""
+        self.assertEqual([next_watch_index(5, answered) for answered in (7, 5, 4, 0)], [7, 5, 0, 0])
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=60), st.text(max_size=8), st.data())
+    def test_arbitrary_answers_raise_nothing(
+        self, noise: bytes, index: str, data: st.DataObject
+    ) -> None:
+        """Guards against an answer that ends the daemon."""
+        mutated = bytearray(pairs(b"services: []", 5))
+        mutated[data.draw(st.integers(0, len(mutated) - 1))] = data.draw(st.integers(0, 255))
+        for body in (noise, bytes(mutated)):
+            decode_answer(200, "9", body)
+            decode_answer(200, index, body)
+
+
+class _KeyHandler(RequestHandler):
+    def initialize(self, bodies: dict[str, bytes], asked: list[str]) -> None:
+        self.bodies, self.asked = bodies, asked
+
+    def get(self, key: str) -> None:
+        self.asked.append(self.request.uri or "")
+        if key not in self.bodies:
+            self.send_error(500)
+            return
+        self.set_header("X-Consul-Index", "5")
+        self.finish(self.bodies[key])
+
+    def log_exception(self, *_: object) -> None:
+        """Keep the output of the tests clean."""
+
+
+class PlatformTaskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.bodies = {
+            BASE_KEY: pairs(b"services: []", 5),
+            "fuchsiaspread/members/occidente": pairs(json.dumps([MEMBER]).encode(), 4),
+        }
+        self.asked: list[str] = []
+        handler = ("/v1/kv/(.*)", _KeyHandler, {"bodies": self.bodies, "asked": self.asked})
+        server = HTTPServer(Application([handler], log_function=lambda _: None))
+        sockets = bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        self.addAsyncCleanup(server.close_all_connections)
+        self.addCleanup(server.stop)
+        self.mailboxes = Mailboxes()
+        unreachable = Endpoint("127.0.0.1", 9)
+        platform = (unreachable, Endpoint(*sockets[0].getsockname()))
+        log = Log(Level.ERROR, lambda: 0)
+        self.task = PlatformTask("occidente", platform, 1, self.mailboxes, log)
+
+    async def test_values_reach_the_core_although_one_address_is_dead(self) -> None:
+        """Guards against a watch that stays at an unreachable platform address."""
+        async with running(self.task):
+            events = await events_of(self.mailboxes, 2)
+        parts = [event for event in events if isinstance(event, PartPublished)]
+        lists = [event for event in events if isinstance(event, MembersPublished)]
+        self.assertEqual(parts, [PartPublished(Part(PartName.BASE, 5, b"services: []"))])
+        self.assertEqual([member.name for member in lists[0].members], ["entry-1"])
+        self.assertIn(PlatformReached(True), await self.mailboxes.admin.take())
+
+    async def test_refresh_reads_without_waiting_for_a_change(self) -> None:
+        """Guards against opens withheld after a pause although the platform answers."""
+        async with running(self.task):
+            await events_of(self.mailboxes, 2)
+            repeated: list[object] = []
+            while PartPublished(Part(PartName.BASE, 5, b"services: []")) not in repeated:
+                self.mailboxes.platform.put(RefreshAsked())
+                repeated = list(await events_of(self.mailboxes, 1))
+        waiting = [uri for uri in self.asked if "index=" in uri]
+        self.assertTrue(all(uri.endswith("index=5&wait=60s") for uri in waiting))
+
+
+class RetryTurnsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_waiting_watches_go_on_after_one_success(self) -> None:
+        """Guards against every watch of a fleet calling a platform that is down."""
+        turns = RetryTurns(Random(1))
+        await turns.wait("base")
+        waiting = asyncio.create_task(turns.wait("members"))
+        await turns.wait("base")
+        self.assertFalse(waiting.done())
+        turns.note_success("base")
+        await waiting
--- /dev/null
+++ b/packages/entry/tests/entry/test_reports.py
@@ -0,0 +1,209 @@
+"""Guard the reports of a running daemon, its log lines and its packet path."""
+
+import asyncio
+import json
+import unittest
+from dataclasses import replace
+
+from dpkt.tcp import TH_ACK, TH_RST, TH_SYN
+from fuchsiaspread_configuration import FabricSettings, Settings
+from fuchsiaspread_core.events import CallerData, Event, MembersPublished, PartPublished
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, ZoneName
+from fuchsiaspread_core.members import Member, MemberState
+from fuchsiaspread_core.parts import Part, PartName
+from fuchsiaspread_entry.daemon import Daemon
+from fuchsiaspread_entry.internal.counts import CountKey, Counts, Metric
+from fuchsiaspread_entry.internal.directory import MAX_MEMBERS, Directory
+from fuchsiaspread_entry.internal.flow_text import parse_flow
+from fuchsiaspread_entry.internal.log import LINES_BURST, Level, Log, format_line
+from fuchsiaspread_entry.internal.metrics import MAX_SERIES, Metrics
+from fuchsiaspread_entry.tasks.load_task import decode_load
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+
+from .running import LIMIT_S, running
+from .samples import FLOW, OLD_KEY, caller_packet, target_packet
+from .test_packet_tasks import open_socket
+
+ANY_PORT = Endpoint("127.0.0.1", 0)
+BASE = """
+services:
+  - name: order-desk
+    slots: 3
+    connections: 2000
+    objective: {{unbroken_share: 0.9999, in_time_share: 0.99, period_days: 30}}
+    addresses:
+      - {{name: screens, address: "10.20.0.1:7001", kind: stream, open_deadline_ms: 2000}}
+    targets:
+      - {{name: desk-1, tunnel: "{tunnel}", zone: zone-a, weight: 1, state: active}}
+"""
+
+
+def settings_of(gateway: Endpoint) -> Settings:
+    """Return settings with free ports and a platform that does not answer."""
+    return Settings(
+        name=EntryName("entry-1"),
+        site="site-a",
+        zone=ZoneName("zone-a"),
+        fabric=FabricSettings(ANY_PORT, gateway),
+        peer=ANY_PORT,
+        control=ANY_PORT,
+        admin=ANY_PORT,
+        platform=(Endpoint("127.0.0.1", 9),),
+        keys=(OLD_KEY,),
+    )
+
+
+def configuration(site: Settings, tunnel: Endpoint, base: str = BASE) -> list[Event]:
+    """Return the events that put a configuration with one target in force."""
+    content = base.format(tunnel=f"{tunnel.host}:{tunnel.port}").encode()
+    return [
+        MembersPublished((site.member(),)),
+        PartPublished(Part(PartName.BASE, 1, content)),
+        PartPublished(Part(PartName.OVERLAY, 1, b"services: []")),
+    ]
+
+
+class DaemonTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.gateway, self.target = open_socket(self), open_socket(self)
+        site = settings_of(Endpoint(*self.gateway.getsockname()))
+        self.daemon = Daemon(site, Log(Level.ERROR, lambda: 0))
+        tunnel = Endpoint(*self.target.getsockname())
+        self.daemon.hand_in(configuration(site, tunnel))
+
+    async def _get(self, path: str) -> HTTPResponse:
+        host, port = self.daemon.addresses.admin
+        return await AsyncHTTPClient().fetch(f"http://{host}:{port}{path}", raise_error=False)
+
+    async def _exchange(self) -> None:
+        """Open a flow through the daemon and end it by a reset of the target."""
+        entry = self.daemon.addresses.fabric
+        for packet in (caller_packet(TH_SYN, 7, 0), caller_packet(TH_ACK, 8, 101)):
+            self.gateway.sendto(packet, entry)
+            self.assertEqual(await asyncio.to_thread(self.target.recv, 9000), packet)
+            flags = TH_SYN | TH_ACK if packet[33] == TH_SYN else TH_RST | TH_ACK
+            answer = target_packet(flags, 100, 8)
+            self.target.sendto(answer, entry)
+            self.assertEqual(await asyncio.to_thread(self.gateway.recv, 9000), answer)
+
+    async def test_flow_passes_and_appears_in_the_reports(self) -> None:
+        """Guards against tasks that are not connected, and against reports without content."""
+        async with running(self.daemon):
+            await self._exchange()
+            ready, burn = await self._get("/ready"), await self._get("/burn")
+            status = json.loads((await self._get("/status")).body)
+            flow = json.loads((await self._get("/explain?flow=10.1.0.1:40000-10.20.0.1:7001")).body)
+            target = json.loads((await self._get("/explain?target=desk-1")).body)
+        self.assertEqual((ready.code, status["revision"]), (200, {"base": 1, "overlay": 1}))
+        self.assertEqual(status["targets"][0]["manager"], "entry-1")
+        self.assertEqual((flow["service"], flow["manager"]), ("order-desk", "entry-1"))
+        self.assertEqual(target["state"], status["targets"][0]["state"])
+        [service] = json.loads(burn.body)["services"]
+        self.assertEqual([window["opened"] for window in service["windows"]], [1] * 4)
+
+    async def test_wrong_questions_get_an_answer_that_helps(self) -> None:
+        """Guards against tracebacks and bare status codes for the operator."""
+        paths = ("/explain", "/explain?flow=x", "/explain?flow=%ff", "/no", "/no?x=%00")
+        async with running(self.daemon):
+            answers = [await self._get(path) for path in paths]
+            metrics = await self._get("/metrics")
+        for answer in answers:
+            self.assertIn(answer.code, (400, 404))
+            self.assertEqual(set(json.loads(answer.body)), {"problem", "next_step"})
+        self.assertIn(b"fuchsiaspread_flows_open", metrics.body)
+
+    async def test_failing_event_and_report_leave_the_daemon_running(self) -> None:
+        """Guards against one packet or one question that ends every entry VM in turn."""
+        core = self.daemon._core._core
+        handle = core.handle
+        faulty = CallerData(FLOW, 1, b"faulty")
+        core.handle = lambda now_ms, event: 1 / 0 if event is faulty else handle(now_ms, event)
+        core.explain_target = lambda *_: 1 / 0
+        self.daemon.hand_in([faulty])
+        async with running(self.daemon):
+            answer = await self._get("/explain?target=desk-1")
+            await self._exchange()
+        self.assertEqual(answer.code, 503)
+
+    async def test_stop_request_ends_the_daemon(self) -> None:
+        """Guards against a daemon that ignores SIGTERM."""
+        async with asyncio.timeout(LIMIT_S):
+            running_daemon = asyncio.create_task(self.daemon.run())
+            await self._exchange()
+            self.daemon.stop()
+            self.assertTrue(await running_daemon)
+
+
+class DirectoryTest(unittest.TestCase):
+    ME = settings_of(ANY_PORT).member()
+
+    def test_list_goes_before_hearsay_and_dead_members_are_forgotten(self) -> None:
+        """Guards against relays that go to the former address of an entry VM."""
+        heard = replace(self.ME, name=EntryName("entry-2"), incarnation=2)
+        listed = replace(heard, peer=Endpoint("127.0.0.2", 1))
+        directory = Directory((self.ME,))
+        self.assertTrue(directory.hear((heard,)))
+        self.assertFalse(directory.hear((replace(listed, incarnation=1),)))
+        self.assertTrue(directory.publish((listed,)))
+        self.assertEqual(directory.members(), (self.ME, listed))
+        directory.publish(())
+        self.assertTrue(directory.hear((replace(heard, state=MemberState.DEAD),)))
+        self.assertEqual(directory.members(), (self.ME,))
+
+    def test_hearsay_is_bounded(self) -> None:
+        """Guards against a faulty peer that fills the memory with names."""
+        directory = Directory(())
+        names = [Member(EntryName(str(n)), ZoneName("z"), ANY_PORT, ANY_PORT) for n in range(5000)]
+        directory.hear(names)
+        self.assertEqual(len(directory.members()), MAX_MEMBERS)
+
+
+class LogTest(unittest.TestCase):
+    @settings(derandomize=True)
+    @given(st.text(max_size=20))
+    def test_any_value_stays_on_its_line(self, text: str) -> None:
+        """Guards against a name from outside that forges a line or a field."""
+        line = format_line({"timestamp": 0.0, "message_type": "event", "name": text})
+        self.assertEqual(len(line.splitlines()), 1)
+        self.assertEqual(line.split(" name=")[0].count("event="), 1)
+        value = line.split(" name=", 1)[1]
+        self.assertTrue(value.startswith('"') or not set(value) & set(' "='))
+
+    def test_lines_of_one_event_are_bounded(self) -> None:
+        """Guards against a log that grows at packet rate."""
+        now_ms, written = [0], []
+        log = Log(Level.INFO, lambda: now_ms[0], lambda **fields: written.append(fields))
+        for _ in range(LINES_BURST * 5):
+            log.write(Level.WARNING, "event")
+        log.write(Level.DEBUG, "other")
+        self.assertEqual(len(written), LINES_BURST)
+        now_ms[0] = 1000
+        log.write(Level.WARNING, "event")
+        self.assertEqual(written[-1]["suppressed_lines"], LINES_BURST * 4)
+
+
+class BorderTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300)
+    @given(st.text(max_size=50), st.binary(max_size=50))
+    def test_arbitrary_input_raises_nothing(self, text: str, body: bytes) -> None:
+        """Guards against a question or a load endpoint that ends a task."""
+        for question in (text, f"10.1.0.1:{text}", f"10.1.0.1:1-10.2.0.1:{text}"):
+            parse_flow(question)
+        decode_load("desk-1", body)
+
+    def test_flow_is_read_in_the_form_that_reports_print(self) -> None:
+        """Guards against an answer that cannot be used as the next question."""
+        for text in ("10.1.0.1:40000-10.20.0.1:7001", "10.1.0.1:40000>10.20.0.1:7001"):
+            self.assertEqual(parse_flow(text), FLOW)
+        self.assertIsNone(parse_flow("10.1.0.1:40000-10.20.0.1:70000"))
+
+    def test_metrics_are_bounded(self) -> None:
+        """Guards against memory that grows with the names in counters."""
+        metrics = Metrics("entry-1", "zone-a")
+        self.addCleanup(metrics.close)
+        names = [(("service", str(number)),) for number in range(MAX_SERIES * 2)]
+        metrics.add(Counts({CountKey(Metric.FLOWS_OPENED, name): 1 for name in names}))
+        series = metrics.text().count(b"fuchsiaspread_flows_opened_total{")
+        self.assertEqual(series, MAX_SERIES + 1)
