--- a/packages/configuration/src/fuchsiaspread_configuration/internal/explanation.py
+++ b/packages/configuration/src/fuchsiaspread_configuration/internal/explanation.py
@@ -7,7 +7,7 @@
 from fuchsiaspread_core.parts import Fault
 from pydantic import ValidationError
 
-from .loading import shown
+from .excerpts import shown
 from .merging import Merged, Path, describe, item_label
 from .values import ENDPOINT_REMEDY
 
