Keep secrets out of messages about settings

Cause: a key of a wrong type or with a wrong tag was quoted in the message, which may go into logs. Change: faults in the keys of the settings never show a value.

--- a/packages/configuration/src/fuchsiaspread_configuration/settings.py
+++ b/packages/configuration/src/fuchsiaspread_configuration/settings.py
@@ -1,5 +1,6 @@
 """Settings of an entry VM."""
 
+import re
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Annotated, Literal
@@ -14,6 +15,9 @@
 from .internal.merging import Merged, Path
 from .internal.values import EndpointText, FileModel, Milliseconds, Name
 
+_SECRET_KEYS = re.compile(r"keys(\[\d+\](\.secret)?)?")
+_KEYS_REMEDY = 'write keys: [{id: 1, secret: "64 hexadecimal digits"}]'
+
 
 class FabricModel(FileModel):
     """Addresses towards the network fabric."""
@@ -97,25 +101,23 @@
     """Return the settings in a file, or all faults found in it."""
     document = load_yaml(content, file)
     if isinstance(document, UnreadableDocument):
-        return document.faults
+        return tuple(_without_secrets(fault) for fault in document.faults)
     merged = Merged(document.tree, {(): file})
-    model, faults = None, []
     try:
         model = SettingsModel.model_validate(document.tree)
     except ValidationError as error:
-        faults = explain(error, merged, SettingsModel.model_fields)
-    if model is not None:
-        faults += _repeated_values(model, file)
-    if model is None or faults:
-        return limited(_without_secrets(fault) for fault in faults)
-    return _settings(model)
+        found = explain(error, merged, SettingsModel.model_fields)
+        return limited(_without_secrets(fault) for fault in found)
+    faults = _repeated_values(model, file)
+    return limited(faults) if faults else _settings(model)
 
 
 def _without_secrets(fault: Fault) -> Fault:
-    # A message about a bad key must not put most of a valid secret into logs.
-    if not fault.key.endswith("secret"):
+    # The found value may be most of a valid secret, which must not get into logs.
+    has_value = fault.problem not in ("the key is missing", "the key is not known here")
+    if not _SECRET_KEYS.fullmatch(fault.key) or not has_value:
         return fault
-    return Fault(fault.file, fault.key, "the secret does not have the right form", fault.remedy)
+    return Fault(fault.file, fault.key, "the value does not have the right form", _KEYS_REMEDY)
 
 
 def _repeated_values(model: SettingsModel, file: str) -> list[Fault]:
--- a/packages/configuration/tests/configuration/test_loading.py
+++ b/packages/configuration/tests/configuration/test_loading.py
@@ -118,6 +118,16 @@
         assert isinstance(loaded, Settings)
         self.assertNotIn(str(bytes.fromhex("ab" * 32))[2:-1], repr(loaded))
 
+    def test_misplaced_secrets_are_not_shown(self) -> None:
+        """Guards against a secret in a message about a wrong type or a wrong tag."""
+        for text in ("{secret}", "[{secret}]", "[{{id: 1, secret: !!binary {secret}}}]"):
+            for secret in ("ab" * 32, "9" * 64):
+                content = yaml.safe_dump({k: v for k, v in SETTINGS.items() if k != "keys"})
+                content += "keys: " + text.format(secret=secret)
+                outcome = load_settings(content.encode(), "x")
+                assert not isinstance(outcome, Settings)
+                self.assertNotIn(secret[:8], str(outcome))
+
     def test_addresses_and_key_ids_are_distinct(self) -> None:
         """Guards against two sockets on one address and an ambiguous key."""
         twice = [{"id": 1, "secret": "ab" * 32}, {"id": 1, "secret": "cd" * 32}]
