Group findings and warn of zones without entry VM

Cause: a platform that is down gave one finding for each entry VM, and a misspelled zone went unnoticed. Change: status joins equal findings; check warns of zones that have targets but no listed entry VM. Tests of the entry point are added.

--- a/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
@@ -12,7 +12,7 @@
 )
 from fuchsiaspread_core.parts import Fault
 
-from ..decide.changes import Comparison, compare_sites
+from ..decide.changes import Comparison, FileWarning, compare_sites
 from ..decide.checking import (
     CheckedFiles,
     SiteValues,
@@ -29,7 +29,7 @@
 from ..inputs import BASE_KEY, SITES_KEY, FleetFiles, Published
 from ..outcomes import Unreachable, Unusable, UsageProblem
 from ..printing.data import to_json
-from ..printing.reports import comparison_text, values_text
+from ..printing.reports import comparison_text, values_text, warning_lines
 from ..printing.text import fault_lines, sections
 from .base import (
     FORMAT_OPTION,
@@ -54,6 +54,7 @@
 
     sites: tuple[str, ...]
     faults: tuple[Fault, ...]
+    warnings: tuple[FileWarning, ...]
     comparison: Comparison | None
 
 
@@ -95,9 +96,11 @@
             if not isinstance(in_force, InForce):
                 return self.fail(in_force)
             comparison = self._compared(in_force, checked)
-        report = CheckReport(tuple(checked.configurations), checked.faults, comparison)
+        report = CheckReport(
+            tuple(checked.configurations), checked.faults, checked.warnings, comparison
+        )
         self.emit(report, check_text)
-        has_warnings = comparison is not None and bool(comparison.warnings)
+        has_warnings = bool(checked.warnings or (comparison and comparison.warnings))
         is_bad = bool(checked.faults) or (self.option("strict") and has_warnings)
         return ExitCode.FINDINGS if is_bad else ExitCode.DONE
 
@@ -236,7 +239,12 @@
     else:
         summary = f"no fault; sites: {', '.join(report.sites)}"
     compared = comparison_text(report.comparison) if report.comparison is not None else ""
-    return sections(("Faults", fault_lines(report.faults)), ("", compared), ("", summary))
+    return sections(
+        ("Faults", fault_lines(report.faults)),
+        ("Warnings about the files", warning_lines(report.warnings)),
+        ("", compared),
+        ("", summary),
+    )
 
 
 def configurations_of(directory: str, site: str | None) -> InForce | UsageProblem | Unusable:
--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/checking.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/checking.py
@@ -1,6 +1,6 @@
 """Checks of a user's files."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from typing import assert_never
 
@@ -24,14 +24,16 @@
 
 from ..inputs import SITES_NAME, FileContent, FleetFiles
 from ..outcomes import Unusable, UsageProblem
+from .changes import FileWarning
 
 
 @dataclass(frozen=True, slots=True)
 class CheckedFiles:
-    """Hold the valid configurations by site and the faults of all files."""
+    """Hold the valid configurations by site, and the faults and warnings of all files."""
 
     configurations: dict[str, Configuration]
     faults: tuple[Fault, ...]
+    warnings: tuple[FileWarning, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +79,8 @@
             case _:
                 assert_never(outcome)
     faults += _members_and_settings(files, [overlay.stem for overlay in files.overlays])
-    return CheckedFiles(configurations, tuple(dict.fromkeys(faults)))
+    warnings = tuple(_zones_without_entry(files.members, configurations))
+    return CheckedFiles(configurations, tuple(dict.fromkeys(faults)), warnings)
 
 
 def site_values(files: FleetFiles, site: str | None) -> SiteValues | Unusable | UsageProblem:
@@ -164,6 +167,22 @@
     return faults
 
 
+def _zones_without_entry(
+    members: FileContent | None, configurations: dict[str, Configuration]
+) -> Iterator[FileWarning]:
+    listed = parse_members(members.content) if members is not None else None
+    # With several sites, the list names the entry VMs of one of them only.
+    if not isinstance(listed, MembersList) or len(configurations) != 1:
+        return
+    zones = {entry.zone for entry in listed.entries}
+    for site, configuration in configurations.items():
+        for service in configuration.services:
+            for zone in sorted({target.zone for target in service.targets} - zones):
+                problem = f"the zone {zone} has targets but no entry VM in the list of members"
+                step = "check the spelling of the zone, or add an entry VM there"
+                yield FileWarning(site, f"services.{service.name}.targets", problem, step)
+
+
 def _settings_faults(
     settings: Settings, path: str, sites: list[str], entries: dict[str, MemberEntry] | None
 ) -> list[Fault]:
--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/fleet.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/fleet.py
@@ -1,11 +1,12 @@
 """State of a fleet, put together from the answers of its entry VMs."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from .answers import FaultAnswer, Missing, RevisionAnswer, StatusAnswer, TargetAnswer
 
 _UNDISTURBED_STATES = ("active", "draining", "slow_start")
+MAX_NAMES = 4
 _PEER_IS_LIVE = "live"
 _PEER_IS_LEAVING = "leaving"
 
@@ -68,7 +69,22 @@
         *_peer_findings(answers),
         *_target_findings(targets, views),
     ]
-    return FleetStatus(tuple(map(_entry_row, answers)), targets, tuple(findings), missing)
+    return FleetStatus(tuple(map(_entry_row, answers)), targets, _grouped(findings), missing)
+
+
+def joined(names: list[str]) -> str:
+    """Return names in one phrase, the first few of them when there are many."""
+    if len(names) > MAX_NAMES:
+        return f"{', '.join(names[:MAX_NAMES])} and {len(names) - MAX_NAMES} more"
+    return " and ".join(filter(None, (", ".join(names[:-1]), names[-1])))
+
+
+def _grouped(findings: Iterable[Finding]) -> tuple[Finding, ...]:
+    # A platform that is down is one finding, not one for each entry VM.
+    subjects: dict[tuple[str, str], list[str]] = {}
+    for finding in findings:
+        subjects.setdefault((finding.problem, finding.next_step), []).append(finding.subject)
+    return tuple(Finding(joined(names), *words) for words, names in subjects.items())
 
 
 def _entry_row(answer: StatusAnswer) -> EntryRow:
@@ -143,20 +159,24 @@
 
 def _peer_findings(answers: list[StatusAnswer]) -> Iterator[Finding]:
     zones = {answer.name: answer.zone for answer in answers}
+    reporters: dict[tuple[str, str], list[StatusAnswer]] = {}
+    peer_zones: dict[str, str] = {}
     for answer in answers:
         for peer in answer.peers:
-            if peer.state in (_PEER_IS_LIVE, _PEER_IS_LEAVING) or peer.name == answer.name:
-                continue
-            if peer.name in zones:
-                problem = (
-                    f"reports {peer.name} as {peer.state}, but {peer.name} answered; the network "
-                    f"between {answer.zone} and {zones[peer.name]} may be partitioned"
-                )
-                step = "check the network between the two; each side serves what it reaches"
-            else:
-                problem = f"reports {peer.name} ({peer.zone}) as {peer.state}"
-                step = f"check that VM, and replace it if it is gone: {peer.name}"
-            yield Finding(answer.name, problem, step)
+            peer_zones[peer.name] = peer.zone
+            if peer.state not in (_PEER_IS_LIVE, _PEER_IS_LEAVING) and peer.name != answer.name:
+                reporters.setdefault((peer.name, peer.state), []).append(answer)
+    for (name, state), by in reporters.items():
+        problem = f"is reported as {state} by {joined([answer.name for answer in by])}"
+        if name in zones:
+            between = joined(sorted({answer.zone for answer in by}))
+            problem += f", but it answered; the network between {zones[name]} and {between} "
+            problem += "may be partitioned"
+            step = "check that network; each side serves the targets that it reaches"
+        else:
+            problem += f" (zone {peer_zones[name]})"
+            step = "check that VM, and replace it if it is gone"
+        yield Finding(name, problem, step)
 
 
 def _target_views(answers: list[StatusAnswer]) -> dict[str, list[tuple[str, TargetAnswer]]]:
@@ -196,6 +216,6 @@
             yield Finding(row.name, problem, "check that its zone has a live entry VM")
         owners = sorted({entry for entry, view in views[row.name] if view.manager == entry})
         if len(owners) > 1:
-            problem = f"is managed by {' and '.join(owners)} at the same time"
+            problem = f"is managed by {joined(owners)} at the same time"
             step = "normal for some seconds after a change; if it stays, check for a partition"
             yield Finding(row.name, problem, step)
--- a/packages/operator/src/fuchsiaspread_operator/internal/printing/reports.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/printing/reports.py
@@ -4,7 +4,7 @@
 
 from ..decide.answers import Missing
 from ..decide.budget import Alert, BurnReport, Contributor, ServiceBudget
-from ..decide.changes import ChangeWarning, Comparison
+from ..decide.changes import Comparison, FileWarning
 from ..decide.checking import SiteValues
 from ..decide.explanation import FlowExplanation, TargetExplanation
 from ..decide.fleet import FleetStatus
@@ -22,7 +22,7 @@
     )
 
 
-def warning_lines(warnings: Iterable[ChangeWarning]) -> str:
+def warning_lines(warnings: Iterable[FileWarning]) -> str:
     """Return one line for each warning."""
     return "\n".join(
         f"{w.site}: {w.key}: {w.problem}; {w.next_step}" if w.key else f"{w.site}: {w.problem}"
--- a/packages/operator/tests/operator_cli/test_file_commands.py
+++ b/packages/operator/tests/operator_cli/test_file_commands.py
@@ -113,6 +113,13 @@
         ):
             self.assertIn(words, output)
 
+    def test_zone_without_entry_vm_is_a_warning(self) -> None:
+        """Guards against a misspelled zone whose targets nobody manages close by."""
+        self.replace(
+            "base.yaml", 'zone: occidente-c, load: "127.1.2.10', 'zone: c, load: "127.1.2.10'
+        )
+        self.assertIn("the zone c has targets but no entry VM", self.warnings())
+
     def test_diff_compares_merged_values(self) -> None:
         """Guards against a difference where only the place of a value changed."""
         self.assertEqual(run("diff", f"{self.old} {self.new}")[:2], (0, "no change\n"))
