--- a/packages/core/src/fuchsiaspread_core/objectives.py
+++ b/packages/core/src/fuchsiaspread_core/objectives.py
@@ -42,11 +42,16 @@
 class WindowCounts:
     """Hold what happened in one window, in total, by target and by availability zone.
 
-    A refused open has no target, so it counts in the total only.
+    A refused open has no target, so it counts in the total only. The fields have the names of the
+    admin address's answer to `/burn`.
     """
 
     window_s: int
-    total: Counts
+    opened: int
+    broken: int
+    answered: int
+    in_time: int
+    refused: int
     by_target: Mapping[TargetName, Counts]
     by_zone: Mapping[ZoneName, Counts]
 
@@ -119,7 +124,17 @@
         for _, bucket in self._buckets:
             total.add(bucket)
         total.add(current)
-        return WindowCounts(self.window_s, total.total, total.by_target, total.by_zone)
+        counts = total.total
+        return WindowCounts(
+            self.window_s,
+            counts.opened,
+            counts.broken,
+            counts.answered,
+            counts.in_time,
+            counts.refused,
+            total.by_target,
+            total.by_zone,
+        )
 
 
 class _ServiceHistory:
--- a/packages/core/tests/core/test_objectives.py
+++ b/packages/core/tests/core/test_objectives.py
@@ -57,7 +57,10 @@
 class ObjectivesTest(unittest.TestCase):
     def windows(self, counters: ObjectiveCounters, now_ms: int) -> dict[int, Counts]:
         (service,) = counters.snapshot(now_ms).services
-        return {window.window_s: window.total for window in service.windows}
+        return {
+            w.window_s: Counts(w.opened, w.broken, w.answered, w.in_time, w.refused)
+            for w in service.windows
+        }
 
     def test_each_notice_counts_once_in_every_window(self) -> None:
         """Guards against a budget that is wrong because an outcome is counted twice or not."""
@@ -143,12 +146,12 @@
             now_ms += gap_ms
             counters.record(now_ms, opened(target))
         for window in counters.snapshot(now_ms).services[0].windows:
-            self.assertEqual(window.total.opened, sum(c.opened for c in window.by_target.values()))
-            self.assertEqual(window.total.opened, sum(c.opened for c in window.by_zone.values()))
+            self.assertEqual(window.opened, sum(c.opened for c in window.by_target.values()))
+            self.assertEqual(window.opened, sum(c.opened for c in window.by_zone.values()))
         times = [sum(gap for gap, _ in steps[: n + 1]) for n in range(len(steps))]
         recent = sum(time > now_ms - 300_000 for time in times)
         window = counters.snapshot(now_ms).services[0].windows[0]
-        self.assertGreaterEqual(window.total.opened, recent)
+        self.assertGreaterEqual(window.opened, recent)
 
 
 if __name__ == "__main__":
--- a/packages/operator/tests/operator_cli/test_fleet_commands.py
+++ b/packages/operator/tests/operator_cli/test_fleet_commands.py
@@ -5,11 +5,25 @@
 import json
 import tempfile
 import unittest
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
+from fuchsiaspread_core.configuration import (
+    Configuration,
+    Objective,
+    Revision,
+    Service,
+    Target,
+    TargetState,
+)
+from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName
+from fuchsiaspread_core.notices import FlowEnd, FlowEnded, FlowOpened
+from fuchsiaspread_core.objectives import ObjectiveCounters
+
 from .fixtures import EXAMPLES, Respond, answering, burn, run, serve, status, window
 
+ACTIVE = TargetState.ACTIVE
 REFUSED = {
     "revision": {"base": 5, "overlay": 7},
     "faults": [{"file": "base", "key": "services.x", "problem": "bad", "remedy": "mend it"}],
@@ -196,6 +210,24 @@
         self.assertEqual(histories, {"127.0.0.1:1": 300, "entry-2": 3_600})
         self.assertNotIn("entry-1", histories)
 
+    async def test_burn_reads_what_the_core_counts(self) -> None:
+        """Guards against a daemon's answer that the command cannot read."""
+        target = Target(
+            TargetName("desk-1"), Endpoint("127.0.0.1", 1), ZoneName("a"), 1, ACTIVE, 3, 9
+        )
+        service = Service(ServiceName("order-desk"), (), (target,), Objective(0.999, 0.99, 86_400))
+        counters = ObjectiveCounters(0)
+        counters.configure(Configuration("occidente", Revision(1, 1), (service,)))
+        counters.record(5, FlowOpened(service.name, target.name, 0))
+        counters.record(6, FlowEnded(service.name, target.name, FlowEnd.RESET_BY_TARGET, False))
+        body = {"name": "entry-1", **asdict(counters.snapshot(1_000))}
+        code, report = await self.run_json("burn", self.fleet("/burn", body))
+        unbroken = report["budgets"][0]
+        self.assertEqual(
+            (code, unbroken["target"]["name"], unbroken["zone"]["bad"]), (1, "desk-1", 1)
+        )
+        self.assertEqual([w["window_s"] for w in unbroken["windows"]], [300, 3_600, 21_600, 86_400])
+
     async def test_slow_burn_and_counts_from_hostile_answers(self) -> None:
         """Guards against a slow burn that no alert shows, and against impossible counts."""
         spans = (300, 3_600, 21_600, 30 * 86_400)
