--- a/packages/operator/src/fuchsiaspread_operator/internal/commands/base.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/base.py
@@ -59,7 +59,11 @@
         if self._format() not in FORMATS:
             problem = f"--format {self.option('format')} is not known"
             return self.fail(UsageProblem(problem, f"write --format {' or '.join(FORMATS)}"))
-        return int(self.run_command())
+        try:
+            return int(self.run_command())
+        except KeyboardInterrupt:
+            # cleo would return 1, which stands for findings.
+            return int(ExitCode.INTERRUPTED)
 
     def run_command(self) -> ExitCode:
         """Gather, decide and print; each command implements this."""
--- a/packages/operator/src/fuchsiaspread_operator/internal/exit_codes.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/exit_codes.py
@@ -12,6 +12,7 @@
     PARTIAL = 3
     NO_ANSWER = 4
     INTERNAL = 70
+    INTERRUPTED = 130
 
 
 EXIT_CODES_HELP = """Exit codes:
@@ -20,7 +21,8 @@
   2   the command was given in a wrong way
   3   some entry VMs did not answer; the report covers the others
   4   nothing answered
-  70  a fault in the command itself"""
+  70  a fault in the command itself
+  130 interrupted"""
 
 
 def of_replies(answered_count: int, missing_count: int, has_findings: bool) -> ExitCode:
--- a/packages/operator/tests/operator_cli/test_main.py
+++ b/packages/operator/tests/operator_cli/test_main.py
@@ -34,6 +34,11 @@
             code, error = self.run_main("schema", "base")
         self.assertEqual((code, len(error.splitlines())), (70, 1))
 
+    def test_interrupt_is_no_finding(self) -> None:
+        """Guards against a script that takes an interrupted report for a bad one."""
+        with mock.patch.object(SchemaCommand, "run_command", side_effect=KeyboardInterrupt):
+            self.assertEqual(self.run_main("schema", "base")[0], 130)
+
     def test_help_names_examples_and_exit_codes(self) -> None:
         """Guards against help that a newcomer cannot act on."""
         for command in ("check", "show", "diff", "status", "explain", "burn", "schema"):
