Let a new entry VM wait for records before it decides opens

Cause: a new entry VM first knows only itself, so its own former table named it manager of every shard and the wait for the former manager's records never began. A target with 3 slots ran 5 requests at once in the fleet test when three entry VMs joined under load. Change: a shard that an entry VM managed alone before it heard of others waits for the present backup's records, 1 s at the most. The daemon uses the core's names of the parts that peers fetch.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	QUICK=$(QUICK) $(BIN)/python -m fuchsiaspread_bench
 
 format: .venv/.ready
+	$(BIN)/black --quiet packages tools
 	$(BIN)/ruff check --quiet --fix packages tools
 	$(BIN)/black --quiet packages tools
 
--- a/packages/core/src/fuchsiaspread_core/handover.py
+++ b/packages/core/src/fuchsiaspread_core/handover.py
@@ -42,6 +42,9 @@
                 gained.append(shard)
                 if before and before[0] != state.me and before[0] in alive:
                     self._warm_until[shard] = (before[0], now_ms + WARM_UP_LIMIT_MS)
+            elif after[:1] == (state.me,) and before == (state.me,) and len(after) > 1:
+                # A new entry VM knows itself first; the present backup managed the shard before.
+                self._warm_until[shard] = (after[1], now_ms + WARM_UP_LIMIT_MS)
             if self._is_sender(before, after, alive):
                 for peer in self._receivers(before, after):
                     sends.setdefault(peer, set()).add(shard)
@@ -103,7 +106,8 @@
                 chunk = tuple(chosen[start : start + RECORDS_PER_MESSAGE])
                 is_last = start + RECORDS_PER_MESSAGE >= len(chosen)
                 effects.append(SendRecords(peer, chunk, is_last))
-            effects.append(Notify(RecordsHandedOver(peer, len(chosen))))
+            if chosen:
+                effects.append(Notify(RecordsHandedOver(peer, len(chosen))))
         return effects
 
     def _is_sent(self, record: FlowRecord) -> bool:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -241,8 +241,7 @@
     def _answer(self, now_ms: int, question: CoreQuestion) -> None:
         match question:
             case PartsAsked(reply=reply):
-                revisions = self._core.revisions
-                reply.set_result((revisions.in_force_parts, revisions.newest_parts))
+                reply.set_result((self._core.in_force_parts, self._core.newest_parts))
             case StatusAsked(reply=reply):
                 reply.set_result(status_body(self._identity.site, self._core.status(now_ms)))
             case ReadinessAsked(reply=reply):
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
@@ -37,7 +37,9 @@
     opens: int = 0
     last_open_ms: int = -1
     wrong_service_packets: int = 0
+    most_running: int = 0
     _next_token: int = 1
+    _ends_ms: dict[tuple[FlowKey, int], int] = field(default_factory=dict)
 
     def receive(self, now_ms: int, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
         """Take a caller's packet; return replies, each with a delay in milliseconds."""
@@ -52,7 +54,7 @@
                 self.connections.pop(packet.flow, None)
                 return []
             case CallerSignal.DATA:
-                return self._data(packet)
+                return self._data(now_ms, packet)
 
     def _open(self, now_ms: int, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
         connection = self.connections.get(packet.flow)
@@ -68,7 +70,7 @@
         token = connection.target_token
         return [(0, TargetPacket(TargetSignal.ACCEPT, packet.flow, token, acknowledges))]
 
-    def _data(self, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
+    def _data(self, now_ms: int, packet: CallerPacket) -> list[tuple[int, TargetPacket]]:
         connection = self.connections.get(packet.flow)
         is_bound = (
             connection is not None
@@ -82,10 +84,20 @@
         )
         if packet.number >= 0:
             return [(0, reply)]
-        is_first = self.runs[packet.flow, packet.caller_token] == 0
-        self.runs[packet.flow, packet.caller_token] += 1 if is_first else 0
-        delay_ms = self.request_ms if is_first else 0
-        closing = TargetPacket(
-            TargetSignal.CLOSE, packet.flow, packet.acknowledges, packet.number, packet.number
-        )
-        return [(delay_ms, closing)]
+        run = (packet.flow, packet.caller_token)
+        if self.runs[run] == 0:
+            self.runs[run] += 1
+            self._ends_ms[run] = now_ms + self.request_ms
+            self._note_run(now_ms)
+            return [(self.request_ms, self._closing(packet))]
+        # A repeated packet of a running request is only acknowledged.
+        is_over = now_ms >= self._ends_ms[run]
+        return [(0, self._closing(packet))] if is_over else []
+
+    def _closing(self, packet: CallerPacket) -> TargetPacket:
+        number = packet.number
+        return TargetPacket(TargetSignal.CLOSE, packet.flow, packet.acknowledges, number, number)
+
+    def _note_run(self, now_ms: int) -> None:
+        running = sum(end_ms > now_ms for end_ms in self._ends_ms.values())
+        self.most_running = max(self.most_running, running)
--- a/packages/standins/tests/fleet/test_planned_changes.py
+++ b/packages/standins/tests/fleet/test_planned_changes.py
@@ -64,6 +64,21 @@
         self.assertEqual(set(self.fleet.entries), names)
         self.assert_holds()
 
+    def test_new_manager_waits_for_records_before_it_gives_out_slots(self) -> None:
+        """Guards against a new entry VM that counts no slot as busy and overloads targets."""
+        for caller in callers(40, JOB_CARDS, ORDER_DESK, False, seed=8):
+            self.fleet.add_caller(caller)
+        for target in self.fleet.targets.values():
+            target.request_ms = 4000
+        self.fleet.run(300)
+        for number in (5, 6, 7):
+            self.fleet.add_entry(entry_member(number))
+        for caller in callers(40, JOB_CARDS, ORDER_DESK, False, seed=11):
+            self.fleet.add_caller(caller)
+        self.fleet.run(2000)
+        most = max(t.most_running for t in self.fleet.targets.values())
+        self.assertLessEqual(most, 3)
+
     def test_moved_address_never_gets_the_old_service(self) -> None:
         """Guards against packets of screens reaching the service that took over their address."""
         moved = ServiceAddress(SCREENS, StreamKind(open_deadline_ms=5000))
