Answer status and burn in the form the command line reads

Cause: fuchsiaspread status refused the daemon's answers, since targets of other managers had no state; /burn failed after the window counts were renamed and called itself busy. Change: the state of a target that another entry VM manages is the one of the file, counts are 0; a report that fails answers 500 and points to the log.

--- a/packages/entry/src/fuchsiaspread_entry/internal/reports.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/reports.py
@@ -1,6 +1,8 @@
 """JSON bodies of the operators' reports."""
 
-from fuchsiaspread_core.configuration import Revision
+from collections.abc import Mapping
+
+from fuchsiaspread_core.configuration import Configuration, Revision, TargetState
 from fuchsiaspread_core.explanation import CONDITION_TEXTS
 from fuchsiaspread_core.identifiers import FlowKey, TargetName, describe_flow
 from fuchsiaspread_core.notices import ConfigurationRefused
@@ -12,12 +14,15 @@
     TargetExplanation,
     TargetStatus,
 )
+from fuchsiaspread_core.target_load import TargetCondition
 
 Body = dict[str, object]
 
 
-def status_body(site: str, status: EntryStatus) -> Body:
+def status_body(site: str, status: EntryStatus, configuration: Configuration | None) -> Body:
     """Return the body of `/status`, except for what the admin task knows."""
+    services = configuration.services if configuration is not None else ()
+    states = {target.name: target.state for service in services for target in service.targets}
     return {
         "name": status.name,
         "site": site,
@@ -28,7 +33,7 @@
         "is_stale": status.is_stale,
         "is_stopping": status.is_stopping,
         "peers": [_peer_body(peer) for peer in status.peers],
-        "targets": [_target_body(target) for target in status.targets],
+        "targets": [_target_body(target, states) for target in status.targets],
         "flow_count": status.flow_count,
         "queued_count": status.queued_count,
     }
@@ -44,7 +49,9 @@
         "manager": explanation.manager,
         "backup": explanation.backup,
         "record": (
-            None if phase is None else {"target": explanation.target, "phase": phase.name.lower()}
+            None
+            if phase is None
+            else {"target": explanation.target or "", "phase": phase.name.lower()}
         ),
         "reason": explanation.reason,
     }
@@ -88,13 +95,13 @@
 def _window_body(window: WindowCounts) -> Body:
     return {
         "window_s": window.window_s,
-        **_counts_body(window.total),
+        **_counts_body(window),
         "by_target": {name: _counts_body(counts) for name, counts in window.by_target.items()},
         "by_zone": {name: _counts_body(counts) for name, counts in window.by_zone.items()},
     }
 
 
-def _counts_body(counts: Counts) -> Body:
+def _counts_body(counts: Counts | WindowCounts) -> Body:
     return {
         "opened": counts.opened,
         "broken": counts.broken,
@@ -134,19 +141,24 @@
     }
 
 
-def _target_body(target: TargetStatus) -> Body:
+def _target_body(target: TargetStatus, states: Mapping[TargetName, TargetState]) -> Body:
     load = target.load
     return {
         "name": target.name,
         "service": target.service,
         "zone": target.zone,
-        "state": _state(target),
+        # Only the manager observes a target; the others tell what the file says.
+        "state": _state(target) or str(states.get(target.name, "")),
         "reason": CONDITION_TEXTS[load.condition][0] if load else "",
         "manager": target.manager,
-        "busy_slots": load.busy_slots if load else None,
-        "connections": load.connections if load else None,
+        "busy_slots": load.busy_slots if load else 0,
+        "connections": load.connections if load else 0,
     }
 
 
 def _state(status: TargetStatus | None) -> str | None:
-    return status.load.condition.value if status and status.load else None
+    if status is None or status.load is None:
+        return None
+    condition = status.load.condition
+    # The word of the file, which the operator knows, for a target without anything special.
+    return str(TargetState.ACTIVE if condition is TargetCondition.IN_USE else condition)
--- a/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -21,7 +21,6 @@
     CountsReported,
     FlowAsked,
     PlatformReached,
-    QuestionFailed,
     ReadinessAsked,
     StatusAsked,
     TargetAsked,
@@ -34,8 +33,10 @@
 BODY_TIMEOUT_S = 5
 BACKLOG = 100
 MAX_TARGET_NAME_LENGTH = 128
+FAILED_STATUS = 500
 FLOW_HINT = "write it as CALLER:PORT-SERVICE:PORT, for example 10.1.0.5:40000-10.20.0.1:7001"
 PATHS_HINT = "ask for /health, /ready, /status, /explain, /burn or /metrics with GET"
+LOG_HINT = "look for event_failed in the log of this entry VM"
 QUESTION_HINT = "add ?flow=CALLER:PORT-SERVICE:PORT or ?target=NAME"
 
 Body = dict[str, object]
@@ -98,12 +99,15 @@
             self._metrics.close()
 
     async def ask(self, question: CoreQuestion) -> Body | bool | None:
-        """Ask the core task; None means that it did not answer in time."""
+        """Ask the core task; None means that it did not answer in time.
+
+        Errors: QuestionFailed when the core task could not answer.
+        """
         self._core.put(question)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 return await question.reply
-        except (TimeoutError, QuestionFailed):
+        except TimeoutError:
             return None
 
     async def status(self) -> Body | None:
@@ -152,9 +156,15 @@
 
     def write_error(self, status_code: int, **_: object) -> None:
         """Answer errors of the HTTP layer in the form of the other answers."""
+        if status_code == FAILED_STATUS:
+            self.answer(_problem("the daemon could not make this report", LOG_HINT), status_code)
+            return
         reason = responses.get(status_code, "unknown error")
         self.answer(_problem(f"HTTP {status_code}: {reason}", PATHS_HINT), status_code)
 
+    def log_exception(self, *_: object) -> None:
+        """Leave the cause to the line that the core task has written."""
+
 
 class _TaskHandler(_JsonHandler):
     def initialize(self, task: AdminTask) -> None:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -254,7 +254,8 @@
             case PartsAsked(reply=reply):
                 reply.set_result((self._core.in_force_parts, self._core.newest_parts))
             case StatusAsked(reply=reply):
-                reply.set_result(status_body(self._identity.site, self._core.status(now_ms)))
+                status, configuration = self._core.status(now_ms), self._core.configuration
+                reply.set_result(status_body(self._identity.site, status, configuration))
             case ReadinessAsked(reply=reply):
                 reply.set_result(self._core.is_ready)
             case BurnAsked(reply=reply):
