Bound admin connections and finish record transfers before the exit

Cause: idle connections could use up the daemon's descriptors; a stop could end while records were still on their way; every entry VM asked the load endpoints of all targets. Change: at most 64 admin connections; the stop waits for running transfers within the grace time; only a target's manager asks for its load, and the list follows changes of routes.

--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -13,7 +13,7 @@
 from .internal.clock import boot_number, now_ms
 from .internal.log import Level, Log, level_of
 from .internal.mailboxes import Mailboxes
-from .internal.task_messages import EventsReceived, KeysChanged
+from .internal.task_messages import EventsReceived, KeysChanged, TransfersAwaited
 from .tasks.admin_task import AdminTask
 from .tasks.core_task import CoreTask, Identity
 from .tasks.fabric_task import FabricTask
@@ -69,7 +69,7 @@
             settings.member(), peer=self._peer.address, control=self._peer_service.address
         )
         identity = Identity(member, settings.site, settings.seeds, settings.fabric.gateway, seed)
-        self._core = CoreTask(identity, compile_parts, mailboxes, log, now_ms, self._stopped.set)
+        self._core = CoreTask(identity, compile_parts, mailboxes, log, now_ms, self._end_stop)
 
     @property
     def addresses(self) -> Addresses:
@@ -129,6 +129,12 @@
         self._mailboxes.peer_service.put(changed)
         self._log.write(Level.INFO, "settings_reloaded", log=settings.log, keys=len(settings.keys))
 
+    def _end_stop(self) -> None:
+        # The next managers need the records whose transfer is still running.
+        transferred = asyncio.get_running_loop().create_future()
+        transferred.add_done_callback(lambda _: self._stopped.set())
+        self._mailboxes.peer_service.put(TransfersAwaited(transferred))
+
     def _end_grace(self) -> None:
         self._log.write(Level.WARNING, "stop_grace_ended", grace_s=self._stop_grace_s)
         self._stopped.set()
--- a/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -131,8 +131,17 @@
     boot: int
 
 
+@dataclass(frozen=True, slots=True)
+class TransfersAwaited:
+    """Ask the peer service task to tell when no transfer of records is running."""
+
+    reply: Future[None]
+
+
 PeerTaskMessage = PeerSends | DirectoryChanged | KeysChanged
-PeerServiceMessage = FetchParts | SendRecords | BootHeard | DirectoryChanged | KeysChanged
+PeerServiceMessage = (
+    FetchParts | SendRecords | TransfersAwaited | BootHeard | DirectoryChanged | KeysChanged
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -9,6 +9,7 @@
 from fuchsiaspread_core.identifiers import Endpoint, TargetName
 from tornado.httpserver import HTTPServer
 from tornado.httputil import responses
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from ..internal.flow_text import parse_flow
@@ -32,6 +33,7 @@
 IDLE_TIMEOUT_S = 60
 BODY_TIMEOUT_S = 5
 BACKLOG = 100
+MAX_CONNECTIONS = 64
 MAX_TARGET_NAME_LENGTH = 128
 FAILED_STATUS = 500
 FLOW_HINT = "write it as CALLER:PORT-SERVICE:PORT, for example 10.1.0.5:40000-10.20.0.1:7001"
@@ -70,7 +72,7 @@
 
     async def run(self) -> None:
         """Answer until cancelled."""
-        server = HTTPServer(
+        server = _BoundedServer(
             Application(
                 [
                     ("/health", _HealthHandler),
@@ -145,6 +147,23 @@
                 assert_never(message)
 
 
+class _BoundedServer(HTTPServer):
+    """Close new connections above a limit, so that they cannot use up memory and descriptors."""
+
+    connection_count = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        if self.connection_count >= MAX_CONNECTIONS:
+            stream.close()
+            return
+        self.connection_count += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        self.connection_count -= 1
+        super().on_close(server_conn)
+
+
 class _JsonHandler(RequestHandler):
     def answer(self, body: Body | bool | None, status: int = 200) -> None:
         """Write a JSON body, or 503 when the core task did not answer."""
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -22,7 +22,7 @@
 from fuchsiaspread_core.events import ControlReceived, Event, MembersPublished, PacketEvent, Tick
 from fuchsiaspread_core.identifiers import Endpoint
 from fuchsiaspread_core.members import Member
-from fuchsiaspread_core.notices import ConfigurationApplied, Notice, ViewBecameStale
+from fuchsiaspread_core.notices import ConfigurationApplied, MemberChanged, Notice, ViewBecameStale
 from fuchsiaspread_core.objectives import ObjectiveCounters
 from fuchsiaspread_core.parts import Compile
 
@@ -97,6 +97,7 @@
         self._reporter = Reporter(mailboxes.admin)
         self._timer: asyncio.TimerHandle | None = None
         self._last_tick_ms = now_ms()
+        self._have_routes_changed = False
         # Effects of the messages taken together, handed on as one batch for each task.
         self._packets: list[tuple[bytes, Endpoint]] = []
         self._sends: list[SendToPeer | SendControl] = []
@@ -111,6 +112,9 @@
                 for message in await self._mailbox.take():
                     self._handle(message)
                 self._flush()
+                if self._have_routes_changed:
+                    self._have_routes_changed = False
+                    self._tell_load_endpoints(self._now_ms())
         finally:
             self._reporter.stop()
             if self._timer is not None:
@@ -205,11 +209,14 @@
         self._objectives.record(now_ms, notice)
         match notice:
             case ConfigurationApplied():
-                self._tell_configuration()
+                self._tell_service_hosts()
+                self._have_routes_changed = True
+            case MemberChanged():
+                self._have_routes_changed = True
             case ViewBecameStale():
                 self._mailboxes.platform.put(RefreshAsked())
 
-    def _tell_configuration(self) -> None:
+    def _tell_service_hosts(self) -> None:
         configuration = self._core.configuration
         if configuration is None:
             return
@@ -220,11 +227,19 @@
             for address in service.addresses
         )
         self._mailboxes.fabric.put(ServiceHostsChanged(hosts))
+
+    def _tell_load_endpoints(self, now_ms: int) -> None:
+        """Tell the load task whom to ask: only a target's manager uses its hints."""
+        configuration, me = self._core.configuration, self._identity.member.name
+        if configuration is None:
+            return
+        statuses = self._core.status(now_ms).targets
+        managed = frozenset(status.name for status in statuses if status.manager == me)
         endpoints = tuple(
             (target.name, target.load_endpoint)
             for service in configuration.services
             for target in service.targets
-            if target.load_endpoint is not None
+            if target.load_endpoint is not None and target.name in managed
         )
         self._mailboxes.load.put(LoadEndpointsChanged(endpoints))
 
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -28,6 +28,7 @@
     PartsAsked,
     PeerServiceMessage,
     QuestionFailed,
+    TransfersAwaited,
 )
 from ..messages.peer_grpc import PeerServiceBase
 from ..messages.peer_pb2 import (
@@ -68,6 +69,7 @@
         self._fetching: set[EntryName] = set()
         # Records that wait for a running transfer to the same peer, so that they keep their order.
         self._transfers: dict[EntryName, list[SendRecords]] = {}
+        self._awaiting: list[asyncio.Future[None]] = []
         self._call_count = 0
         self._reporter = Reporter(mailboxes.admin)
         self._socket = socket.create_server(listen, backlog=BACKLOG)
@@ -169,6 +171,9 @@
                 elif peer in self._members:
                     self._transfers[peer] = [message]
                     calls.create_task(self._transfer(self._members[peer]))
+            case TransfersAwaited(reply=reply):
+                self._awaiting.append(reply)
+                self._tell_awaiting()
             case BootHeard(peer=peer, boot=boot):
                 self._caller.boots[peer] = boot
             case DirectoryChanged(members=members):
@@ -200,6 +205,15 @@
                 cause = outcome.cause
                 self._log.write(Level.WARNING, "transfer_failed", peer=peer.name, cause=cause)
         del self._transfers[peer.name]
+        self._tell_awaiting()
+
+    def _tell_awaiting(self) -> None:
+        if self._transfers:
+            return
+        for reply in self._awaiting:
+            if not reply.done():
+                reply.set_result(None)
+        self._awaiting.clear()
 
 
 def _path(method: str) -> str:
--- a/packages/entry/tests/entry/test_reports.py
+++ b/packages/entry/tests/entry/test_reports.py
@@ -17,6 +17,7 @@
 from fuchsiaspread_entry.internal.flow_text import parse_flow
 from fuchsiaspread_entry.internal.log import LINES_BURST, Level, Log, format_line
 from fuchsiaspread_entry.internal.metrics import MAX_SERIES, Metrics
+from fuchsiaspread_entry.tasks.admin_task import MAX_CONNECTIONS
 from fuchsiaspread_entry.tasks.load_task import decode_load
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -115,6 +116,21 @@
             self.assertEqual(set(json.loads(answer.body)), {"problem", "next_step"})
         self.assertIn(b"fuchsiaspread_flows_open", metrics.body)
 
+    async def test_connections_are_bounded(self) -> None:
+        """Guards against idle connections that use up the daemon's file descriptors."""
+        async with running(self.daemon):
+            opened = [
+                await asyncio.open_connection(*self.daemon.addresses.admin)
+                for _ in range(MAX_CONNECTIONS + 1)
+            ]
+            readers = [asyncio.create_task(reader.read()) for reader, _ in opened]
+            closed, held = await asyncio.wait(readers, return_when=asyncio.FIRST_COMPLETED)
+            self.assertEqual((len(closed), len(held)), (1, MAX_CONNECTIONS))
+            for _, writer in opened:
+                writer.close()
+            await asyncio.wait(readers)
+            self.assertEqual((await self._get("/health")).code, 200)
+
     async def test_failing_event_and_report_leave_the_daemon_running(self) -> None:
         """Guards against one packet or one question that ends every entry VM in turn."""
         core = self.daemon._core._core
