Let the latest news of an entry VM's address count

Cause: while the platform's list lagged, relays went to the former address of an entry VM that was replaced under its name. Change: the directory takes a changed list entry, a greater incarnation or an entry VM's own word, whichever comes last; gRPC callers may send 256 KiB before their proof is checked; a reload names the settings that need a restart.

--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 
 from fuchsiaspread_configuration import Settings, compile_parts
 from fuchsiaspread_core.events import Event, StopRequested
@@ -27,6 +27,7 @@
 
 # Long enough for two entry VMs never to share one by chance.
 SEED_RANGE = 2**63
+RELOADED_SETTINGS = ("log", "keys")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,7 @@
 
     def __init__(self, settings: Settings, log: Log) -> None:
         self._log = log
+        self._settings = settings
         self._mailboxes = mailboxes = Mailboxes()
         self._stop_grace_s = settings.stop_grace_ms / MS_PER_SECOND
         self._stopped = asyncio.Event()
@@ -123,6 +125,13 @@
 
     def reload(self, settings: Settings) -> None:
         """Take the log level and the keys of new settings; the rest needs a restart."""
+        names = [field.name for field in fields(settings) if field.name not in RELOADED_SETTINGS]
+        changed_names = [
+            name for name in names if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        if changed_names:
+            needed = ",".join(changed_names)
+            self._log.write(Level.WARNING, "settings_need_restart", settings=needed)
         self._log.level = level_of(settings.log)
         changed = KeysChanged(Keyring(settings.keys))
         self._mailboxes.peer.put(changed)
--- a/packages/entry/src/fuchsiaspread_entry/internal/directory.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/directory.py
@@ -10,43 +10,49 @@
 
 
 class Directory:
-    """Merge the seeds, the platform's list and what peers tell of new entry VMs."""
+    """Merge seeds, the platform's list and what peers tell; the latest news of a name counts.
+
+    A member that leaves the list keeps its address: the list lags, and whether an entry VM is
+    live is for the core to decide.
+    """
 
     def __init__(self, seeds: Iterable[Member]) -> None:
-        self._seeds = {member.name: member for member in seeds}
-        self._published: dict[EntryName, Member] = {}
-        self._heard: dict[EntryName, Member] = {}
+        self._members = {member.name: member for member in seeds}
+        self._listed: dict[EntryName, Member] = {}
 
     def publish(self, members: Iterable[Member]) -> bool:
         """Take the platform's list; return whether an address changed."""
-        before = self._addresses()
-        self._published = {member.name: member for member in members}
-        return self._addresses() != before
+        listed = {member.name: member for member in members}
+        has_changed = False
+        for name, member in listed.items():
+            # An entry that repeats what the list said before is no news: the entry VM may have
+            # been replaced at another address since, and have said so itself.
+            if not _is_same_place(self._listed.get(name), member):
+                has_changed |= self._put(member)
+        self._listed = listed
+        return has_changed
 
-    def hear(self, updates: Iterable[Member]) -> bool:
+    def hear(self, sender: EntryName, updates: Iterable[Member]) -> bool:
         """Take what a peer tells of members; return whether an address changed."""
         has_changed = False
         for member in updates:
-            known = self._heard.get(member.name)
-            if member.state is MemberState.DEAD:
-                has_changed |= self._heard.pop(member.name, None) is not None
-            elif known is None and len(self._heard) >= MAX_MEMBERS:
-                continue
-            elif known is None or _addresses_of(known) != _addresses_of(member):
-                # An older incarnation may carry the addresses of an entry VM that was replaced.
-                if known is not None and member.incarnation < known.incarnation:
-                    continue
-                self._heard[member.name] = member
-                has_changed = True
+            known = self._members.get(member.name)
+            is_news = known is None or member.incarnation > known.incarnation
+            if member.state is not MemberState.DEAD and (is_news or member.name == sender):
+                has_changed |= self._put(member)
         return has_changed
 
     def members(self) -> tuple[Member, ...]:
-        """Return all known members; the platform's list goes before what peers tell."""
-        return tuple((self._seeds | self._heard | self._published).values())
+        """Return all known members."""
+        return tuple(self._members.values())
 
-    def _addresses(self) -> list[object]:
-        return [_addresses_of(member) for member in self.members()]
+    def _put(self, member: Member) -> bool:
+        known = self._members.get(member.name)
+        if known is None and len(self._members) >= MAX_MEMBERS:
+            return False
+        self._members[member.name] = member
+        return not _is_same_place(known, member)
 
 
-def _addresses_of(member: Member) -> object:
-    return (member.name, member.peer, member.control)
+def _is_same_place(known: Member | None, member: Member) -> bool:
+    return known is not None and (known.peer, known.control) == (member.peer, member.control)
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -161,8 +161,8 @@
 
     def _take_event(self, now_ms: int, event: Event) -> None:
         match event:
-            case ControlReceived(message=control):
-                if self._directory.hear(control.updates):
+            case ControlReceived(sender=sender, message=control):
+                if self._directory.hear(sender, control.updates):
                     self._tell_directory()
             case MembersPublished(members=members):
                 if self._directory.publish(members):
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -9,6 +9,7 @@
 from fuchsiaspread_core.identifiers import Endpoint, EntryName
 from fuchsiaspread_core.members import Member
 from google.protobuf.message import Message
+from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
@@ -43,6 +44,11 @@
 # More calls at a time than this come from a fault or an attack; the rest are turned away.
 MAX_CALLS = 64
 BACKLOG = 100
+# What a caller may send before its proof is checked; a transfer of records is smaller.
+MAX_UNREAD_BYTES = 256 * 1024
+LIMITS = Configuration(
+    http2_connection_window_size=MAX_UNREAD_BYTES, http2_stream_window_size=MAX_UNREAD_BYTES
+)
 
 
 class PeerServiceTask(PeerServiceBase):
@@ -82,7 +88,7 @@
     async def run(self) -> None:
         """Serve and call until cancelled."""
         self._socket.setblocking(False)
-        server = Server([self])
+        server = Server([self], config=LIMITS)
         await server.start(sock=self._socket)
         self._reporter.start()
         try:
--- a/packages/entry/tests/entry/test_daemon.py
+++ b/packages/entry/tests/entry/test_daemon.py
@@ -16,7 +16,7 @@
 SETTINGS = """
 name: entry-1
 site: occidente
-zone: occidente-a
+zone: zone-x
 fabric: {listen: "FREE", gateway: "127.0.0.1:9"}
 peer: "FREE"
 control: "FREE"
@@ -78,11 +78,14 @@
             urllib.request.urlopen(f"{url}/ready", timeout=PROCESS_TIMEOUT_S)
         self.assertEqual(not_ready.exception.code, 503)
         not_ready.exception.close()
+        path = Path(self.folder, "settings.yaml")
+        path.write_text(path.read_text().replace("zone-x", "zone-y"), encoding="utf-8")
         process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGTERM)
         output, errors = process.communicate(timeout=PROCESS_TIMEOUT_S)
         self.assertEqual((process.returncode, errors), (0, ""))
         self.assertIn(" event=settings_reloaded ", output)
+        self.assertIn(" event=settings_need_restart settings=zone", output)
         self.assertIn(" event=stop_requested ", output)
         self.assertNotIn(SECRET, started + output)
 
--- a/packages/entry/tests/entry/test_reports.py
+++ b/packages/entry/tests/entry/test_reports.py
@@ -157,24 +157,27 @@
 class DirectoryTest(unittest.TestCase):
     ME = settings_of(ANY_PORT).member()
 
-    def test_list_goes_before_hearsay_and_dead_members_are_forgotten(self) -> None:
-        """Guards against relays that go to the former address of an entry VM."""
-        heard = replace(self.ME, name=EntryName("entry-2"), incarnation=2)
-        listed = replace(heard, peer=Endpoint("127.0.0.2", 1))
+    def test_latest_news_of_a_name_counts(self) -> None:
+        """Guards against relays to the former address of an entry VM that was replaced."""
+        listed = replace(self.ME, name=EntryName("entry-2"))
+        moved = replace(listed, peer=Endpoint("127.0.0.2", 1))
+        relisted = replace(listed, peer=Endpoint("127.0.0.3", 1))
         directory = Directory((self.ME,))
-        self.assertTrue(directory.hear((heard,)))
-        self.assertFalse(directory.hear((replace(listed, incarnation=1),)))
         self.assertTrue(directory.publish((listed,)))
-        self.assertEqual(directory.members(), (self.ME, listed))
-        directory.publish(())
-        self.assertTrue(directory.hear((replace(heard, state=MemberState.DEAD),)))
-        self.assertEqual(directory.members(), (self.ME,))
+        self.assertFalse(directory.hear(self.ME.name, (moved,)))
+        self.assertTrue(directory.hear(moved.name, (moved,)))
+        self.assertFalse(directory.publish((listed,)))
+        self.assertEqual(directory.members(), (self.ME, moved))
+        self.assertTrue(directory.publish((relisted,)))
+        self.assertTrue(directory.hear(self.ME.name, (replace(moved, incarnation=1),)))
+        dead = replace(listed, incarnation=2, state=MemberState.DEAD)
+        self.assertFalse(directory.hear(self.ME.name, (dead,)))
 
     def test_hearsay_is_bounded(self) -> None:
         """Guards against a faulty peer that fills the memory with names."""
         directory = Directory(())
         names = [Member(EntryName(str(n)), ZoneName("z"), ANY_PORT, ANY_PORT) for n in range(5000)]
-        directory.hear(names)
+        directory.hear(self.ME.name, names)
         self.assertEqual(len(directory.members()), MAX_MEMBERS)
 
 
