Put a good part in force beside the last good other one

Cause: a valid base beside a refused overlay came into force only where it happened to arrive first, so entry VMs differed by order, and the others waited for the next overlay. Change: when the newest pair is refused, each newest part is tried beside the other part in force, lower index first.

--- /dev/null
+++ b/packages/bench/src/fuchsiaspread_bench/platform_model.py
@@ -0,0 +1,76 @@
+"""A platform in memory that each reader finds up, down or stale in turn."""
+
+from collections.abc import Callable
+from enum import Enum, auto
+from random import Random
+
+from fuchsiaspread_core.parts import Part, PartName
+
+from .fleet import Clock
+
+# A reader's platform is up half of the time and down or stale for a quarter each.
+MIN_PERIOD_MS = 2_000
+MAX_PERIOD_MS = 20_000
+STALE_BY_MS = 30_000
+WATCH_DELAY_MS = (5, 50)
+# A reader that lost its platform tries again within this time.
+RECONNECT_MS = 1_000
+
+
+class Condition(Enum):
+    """Name how a reader finds the platform."""
+
+    UP = auto()
+    DOWN = auto()
+    STALE = auto()
+
+
+class Platform:
+    """Publish parts, and let each of a number of readers find the platform up half of the time."""
+
+    def __init__(self, clock: Clock, seed: int, reader_count: int) -> None:
+        self._clock = clock
+        self._random = Random(seed)
+        self._published: dict[PartName, list[tuple[int, Part]]] = {name: [] for name in PartName}
+        self.conditions = [Condition.UP] * reader_count
+        self.on_up: Callable[[int], None] = lambda reader: None
+        for reader in range(reader_count):
+            self._schedule(reader)
+
+    def publish(self, part: Part) -> None:
+        """Make a part the newest one."""
+        self._published[part.name].append((self._clock.now_ms, part))
+
+    def read(self, reader: int) -> list[Part]:
+        """Return what a reader gets now: the newest parts, old ones, or nothing."""
+        match self.conditions[reader]:
+            case Condition.UP:
+                return self._parts_at(self._clock.now_ms)
+            case Condition.STALE:
+                return self._parts_at(self._clock.now_ms - STALE_BY_MS)
+            case Condition.DOWN:
+                return []
+
+    def is_up_for_any(self) -> bool:
+        """Return whether any reader finds the platform up."""
+        return Condition.UP in self.conditions
+
+    def _parts_at(self, now_ms: int) -> list[Part]:
+        found = []
+        for versions in self._published.values():
+            old = [part for published_ms, part in versions if published_ms <= now_ms]
+            found += old[-1:]
+        return found
+
+    def _schedule(self, reader: int) -> None:
+        period_ms = self._random.randint(MIN_PERIOD_MS, MAX_PERIOD_MS)
+        self._clock.post(period_ms, lambda: self._change(reader))
+
+    def _change(self, reader: int) -> None:
+        # Up and not up take turns, so that each reader's platform is up half of the time.
+        if self.conditions[reader] is Condition.UP:
+            self.conditions[reader] = self._random.choice((Condition.DOWN, Condition.STALE))
+        else:
+            self.conditions[reader] = Condition.UP
+        self._schedule(reader)
+        self.on_up(reader)
--- a/packages/core/src/fuchsiaspread_core/revisions.py
+++ b/packages/core/src/fuchsiaspread_core/revisions.py
@@ -69,7 +69,7 @@
         match event:
             case PartPublished(part=part):
                 self._keep(part, PLATFORM, effects)
-                self._advance(self._newest, effects)
+                self._advance(effects)
             case PartsReceived():
                 self._take_parts(event, effects)
             case PeerRevision():
@@ -87,9 +87,11 @@
         self._fetches.settle(event.sender)
         for part in event.newest + event.in_force:
             self._keep(part, event.sender, effects)
-        self._advance(self._newest, effects)
+        self._advance(effects)
         # The newest pair may be refused while the peer's pair in force is newer than the own.
-        self._advance({part.name: self._held(part) for part in event.in_force}, effects)
+        pair = {part.name: self._held(part) for part in event.in_force}
+        if isinstance(self._try(pair, effects), Configuration):
+            self._advance(effects)
 
     def _keep(self, part: Part, source: EntryName | str, effects: list[RevisionEffect]) -> None:
         held = self._newest.get(part.name)
@@ -110,29 +112,44 @@
                 return held
         return part
 
-    def _advance(self, pair: dict[PartName, Part], effects: list[RevisionEffect]) -> None:
-        """Put a pair in force if it is complete, forward in both parts, and valid."""
+    def _advance(self, effects: list[RevisionEffect]) -> None:
+        """Put the newest pair in force, or else one newest part beside the other last good one.
+
+        Without the second step, whether a good part comes into force beside a refused one would
+        depend on which of them arrived first, and entry VMs would differ. The part with the lower
+        index goes first, as it would if every part had been seen when it was published.
+        """
+        outcome = self._try(self._newest, effects)
+        if isinstance(outcome, InvalidConfiguration):
+            self.refused = outcome
+            effects.append(Notify(ConfigurationRefused(outcome.revision, outcome.faults)))
+        if self.revision == NO_REVISION:
+            return
+        for part in sorted(self._newest.values(), key=lambda one: one.index):
+            self._try(self._in_force | {part.name: part}, effects)
+
+    def _try(
+        self, pair: dict[PartName, Part], effects: list[RevisionEffect]
+    ) -> Configuration | InvalidConfiguration | None:
+        """Put a pair in force if it is complete, forward in both parts, untried and valid."""
         candidate = _revision_of(pair)
         if len(pair) < len(PartName) or not _is_forward(self.revision, candidate):
-            return
+            return None
         if candidate in self._refused:
-            return
+            return None
         outcome = self._compile(pair[PartName.BASE], pair[PartName.OVERLAY])
         match outcome:
             case InvalidConfiguration():
                 _remember(self._refused, candidate)
-                self.refused = outcome
-                effects.append(Notify(ConfigurationRefused(candidate, outcome.faults)))
             case Configuration():
-                previous = self.revision
                 self._in_force = dict(pair)
-                assert _is_forward(previous, self.revision), "a part in force moved backwards"
                 if self.refused is not None and _is_forward(self.refused.revision, candidate):
                     self.refused = None
                 effects.append(PutInForce(outcome))
                 effects.append(Notify(ConfigurationApplied(candidate)))
             case _:
                 assert_never(outcome)
+        return outcome
 
     def _lacks(self, stated: PeerRevision) -> bool:
         """Return whether a peer holds a newer part, or has a newer pair in force."""
--- a/packages/core/tests/core/test_revisions.py
+++ b/packages/core/tests/core/test_revisions.py
@@ -136,6 +136,19 @@
             store.handle(0, PartPublished(part))
         self.assertEqual(store.revision, Revision(3, 4))
 
+    @given(st.permutations([base(2), base(3), overlay(1), overlay(2, b"bad")]))
+    def test_any_order_ends_with_the_good_part_beside_the_last_good_one(
+        self, parts: list[Part]
+    ) -> None:
+        """Guards against a bad overlay holding back a base that other sites already follow."""
+        store = RevisionStore(compile_unless_bad)
+        for part in parts:
+            store.handle(0, PartPublished(part))
+        # One that read the bad overlay first gets the last good one from a peer.
+        store.handle(1, PartsReceived(PEERS[0], (base(2), overlay(1)), ()))
+        self.assertEqual(store.revision, Revision(3, 1))
+        self.assertEqual(store.refused.revision, Revision(3, 2))
+
 
 if __name__ == "__main__":
     unittest.main()
