Correct members that hold an outdated record

Cause: random schedules of pauses, cuts, restarts, replacements, stale lists and losses left views apart for good. A restarted member did not hear who is leaving; a member that held an outdated death was never told the present record; the stop of a restarted member looked older than what the others held. Change: a leaving member states its record in every message; a sender that holds an outdated record gets the present one, and a member that states an outdated record of itself gets the held one; silence makes a member introduce itself again.

--- a/packages/core/src/fuchsiaspread_core/internal/gossip.py
+++ b/packages/core/src/fuchsiaspread_core/internal/gossip.py
@@ -1,5 +1,6 @@
 """Member changes that ride on control messages."""
 
+from ..control import ControlMessage, ProbeAnswer
 from ..identifiers import EntryName
 from ..members import Member, MemberState
 from .draws import Draws
@@ -24,6 +25,8 @@
         # Members that have answered since the own record last changed.
         self._introduced: set[EntryName] = set()
         self._heard: set[EntryName] = set()
+        # Members whose own statement of themselves is older than the held one.
+        self._outdated: set[EntryName] = set()
         self._sync_allowed_ms = 0
 
     def spread(self, name: EntryName) -> None:
@@ -42,15 +45,31 @@
         self._queue.add(me.name)
         self._introduced.clear()
 
-    def note_answer(self, name: EntryName) -> None:
-        """Note that a member answered, so that it knows the own record."""
-        self._introduced.add(name)
+    def note_message(self, sender: EntryName, message: ControlMessage) -> None:
+        """Note whether the sender of a message knows the own record and states its own one anew."""
+        entry = self._roster.get(sender)
+        if entry is not None and any(
+            one.name == sender and one != entry.member for one in message.updates
+        ):
+            # A new process under a known name states an incarnation that the others ignore. It
+            # goes beyond the held one as soon as it hears of that.
+            self._outdated.add(sender)
+        if any(one.name == self.me.name and one != self.me for one in message.updates):
+            # Without this, a member that holds an outdated death of this one was never corrected.
+            self._introduced.discard(sender)
+        elif isinstance(message, ProbeAnswer) and message.subject == sender:
+            self._introduced.add(sender)
+
+    def note_silence(self, name: EntryName) -> None:
+        """Note that a member may be a new process that ignores senders without their record."""
+        self._introduced.discard(name)
 
     def forget(self, name: EntryName) -> None:
         """Forget a removed member."""
         self._queue.discard(name)
         self._introduced.discard(name)
         self._heard.discard(name)
+        self._outdated.discard(name)
 
     def updates_for(self, name: EntryName, is_extra: bool = False) -> tuple[Member, ...]:
         """Return the updates of one message: what its receiver must answer to comes first.
@@ -60,9 +79,12 @@
         """
         chosen: dict[EntryName, Member] = {}
         entry = self._roster.get(name)
-        if entry is not None and entry.member.state is not MemberState.LIVE:
+        if entry is not None and (
+            entry.member.state is not MemberState.LIVE or name in self._outdated
+        ):
             chosen[name] = entry.member
-        if name not in self._introduced:
+            self._outdated.discard(name)
+        if name not in self._introduced or self.me.state is not MemberState.LIVE:
             chosen[self.me.name] = self.me
         room = 0 if is_extra else MAX_UPDATES - len(chosen)
         for queued in self._queue.take(len(self._roster) + 1, room):
--- a/packages/core/src/fuchsiaspread_core/membership.py
+++ b/packages/core/src/fuchsiaspread_core/membership.py
@@ -163,6 +163,7 @@
                 # Silence adds nothing to a suspicion, so asking others would only cost messages.
                 self._open = None
             elif probe.signal(ProbeSignal.TIMEOUT) is ProbePhase.INDIRECT:
+                self._gossip.note_silence(probe.target)
                 # With 10% loss, the retry avoids four of five false suspicions.
                 self._send_probe(probe.target, probe.sequence, is_extra=True)
                 for helper in self._answering.sample(INDIRECT_PROBES, frozenset({probe.target})):
@@ -191,6 +192,7 @@
         if self._roster.get(sender) is None:
             # Without the sender's own record there is no address to answer to.
             return
+        self._gossip.note_message(sender, message)
         self._effects.append(PeerRevision(sender, message.revision, message.newest))
         match message:
             case Probe():
@@ -204,7 +206,6 @@
 
     def _take_answer(self, sender: EntryName, answer: ProbeAnswer) -> None:
         if answer.subject == sender:
-            self._gossip.note_answer(sender)
             relayed = self._relayed.pop(answer.sequence, sender)
             if relayed is not None:
                 self._answer(relayed.requester, relayed.sequence, (), relayed.subject)
--- a/packages/core/tests/core/test_membership.py
+++ b/packages/core/tests/core/test_membership.py
@@ -1,6 +1,7 @@
 """Guard failure detection, refutation and the part that the platform's list plays."""
 
 import unittest
+from dataclasses import replace
 
 from fuchsiaspread_core.configuration import Revision
 from fuchsiaspread_core.control import PeerRevision, Probe, ProbeAnswer
@@ -16,6 +17,7 @@
 from .virtual_fleet import fleet_of, member, name_of
 
 NOTICE_LIMIT_MS = 2500
+DISTURBANCES = ("pause", "resume", "isolate", "heal", "restart", "stale list")
 
 
 def names(*numbers: int) -> list[EntryName]:
@@ -83,6 +85,45 @@
         fleet.run(5000)
         self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
 
+    def test_outdated_death_is_corrected_each_time(self) -> None:
+        """Guards against a restarted member that holds another one dead for ever."""
+        fleet = fleet_of(2)
+        stale = member(2, MemberState.DEAD)
+        for _ in range(2):
+            probe = Probe(1, Revision(0, 0), (stale,))
+            fleet.sent[name_of(2)].clear()
+            fleet.deliver(name_of(2), ControlReceived(name_of(1), probe))
+            answer = fleet.sent[name_of(2)][0].message
+            self.assertIn(replace(member(2), incarnation=1), answer.updates)
+            fleet.run(5000)
+
+    @given(st.lists(st.tuples(st.sampled_from(DISTURBANCES), st.integers(1, 4)), max_size=12))
+    def test_views_agree_after_any_disturbances(self, steps: list[tuple[str, int]]) -> None:
+        """Guards against views that stay apart after pauses, cuts, restarts and stale lists."""
+        fleet = fleet_of(4)
+        for kind, number in steps:
+            name = name_of(number)
+            match kind:
+                case "pause":
+                    fleet.paused.add(name)
+                case "resume":
+                    fleet.paused.discard(name)
+                case "isolate":
+                    fleet.is_cut = lambda sender, receiver, cut=name: cut in (sender, receiver)
+                case "heal":
+                    fleet.is_cut = lambda sender, receiver: False
+                case "restart":
+                    fleet.paused.discard(name)
+                    fleet.add(number, has_list=range(1, 5))
+                case "stale list":
+                    fleet.publish([one for one in range(1, 5) if one != number])
+            fleet.run(1500)
+        fleet.paused.clear()
+        fleet.is_cut = lambda sender, receiver: False
+        fleet.publish(range(1, 5))
+        fleet.run(15_000)
+        self.assertEqual(fleet.views(), [names(1, 2, 3, 4)] * 4)
+
 
 class LeavingTest(unittest.TestCase):
     def test_stopping_member_leaves_every_view_and_still_answers(self) -> None:
@@ -96,6 +137,27 @@
         fleet.run(5000)
         self.assertEqual(fleet.memberships[name_of(1)].leaving, ())
 
+    def test_restarted_member_leaves_although_others_hold_a_later_incarnation(self) -> None:
+        """Guards against new work for a leaving member whose statement looks outdated."""
+        fleet = fleet_of(4)
+        fleet.paused.add(name_of(2))
+        fleet.run(5000)
+        fleet.paused.clear()
+        fleet.run(5000)
+        fleet.add(2, has_list=range(1, 5))
+        fleet.deliver(name_of(2), StopRequested())
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 3, 4)] * 4)
+
+    def test_restarted_member_learns_who_is_leaving(self) -> None:
+        """Guards against a new process that gives work to a member that left earlier."""
+        fleet = fleet_of(4)
+        fleet.deliver(name_of(2), StopRequested())
+        fleet.run(20_000)
+        fleet.add(3, has_list=range(1, 5))
+        fleet.run(5000)
+        self.assertEqual(fleet.views(), [names(1, 3, 4)] * 4)
+
     def test_member_listed_as_leaving_counts_as_leaving(self) -> None:
         """Guards against new work for a member that the platform takes away."""
         fleet = fleet_of(4)
