--- a/packages/core/src/fuchsiaspread_core/membership.py
+++ b/packages/core/src/fuchsiaspread_core/membership.py
@@ -23,20 +23,18 @@
 from .internal.suspicions import Suspicions
 from .members import Member, MembersChanged, MemberState
 from .notices import MemberChanged
-from .wakeup import GAP_LIMIT_MS
+from .wakeup import BACKLOG_MS, GAP_LIMIT_MS
 
 __all__ = ["MembersChanged", "Membership", "MembershipEffect", "MembershipEvent", "PeerRevision"]
 
 # With 4 members, 3 intervals until the probe of a killed one, 250 ms without an answer and 500 ms
-# of suspicion make up 1,950 ms.
+# of suspicion make up 1,950 ms. An interval must be longer than the timeout of indirect probes.
 PROBE_INTERVAL_MS = 400
 INDIRECT_PROBES = 3
 # One dead member is probed in this time, however many there are.
 DEAD_PROBE_INTERVAL_MS = 2000
 # Members that hear at once of a new revision, a stop or a wake-up; the rest hear from them.
 ANNOUNCEMENT_PROBES = 3
-# After a pause, what the socket buffers kept is read first.
-WAKEUP_PROBE_DELAY_MS = 100
 FORGET_INTERVAL_MS = 1000
 
 
@@ -138,12 +136,14 @@
         """Discard what timed out during a pause of the own process: nobody else was at fault."""
         self._open = None
         self._suspicions.postpone(gap_ms)
-        # The others may count this entry VM as dead; their answers say so and are refuted.
-        self._announce_due_ms = self._probe_due_ms = now_ms + WAKEUP_PROBE_DELAY_MS
+        # The others may count this entry VM as dead; their answers say so and are refuted. They are
+        # asked once the backlog is read, so that these answers count as a fresh view.
+        self._announce_due_ms = self._probe_due_ms = now_ms + BACKLOG_MS
 
     def _send_due_probes(self, now_ms: int) -> None:
         if now_ms >= self._probe_due_ms:
             self._probe_due_ms = now_ms + PROBE_INTERVAL_MS
+            assert self._open is None, "a probe ends before the next interval starts"
             name = self._answering.next()
             if name is not None:
                 self._open = OpenProbe(name, self._send_probe(name), now_ms)
--- a/packages/core/src/fuchsiaspread_core/wakeup.py
+++ b/packages/core/src/fuchsiaspread_core/wakeup.py
@@ -10,8 +10,9 @@
 GAP_LIMIT_MS = 500
 # With neither a peer nor the platform in reach, waiting longer brings no newer view.
 STALE_LIMIT_MS = 3000
-# What the socket buffers kept during the pause is read within this time and proves nothing.
-BACKLOG_MS = 50
+# What the socket buffers kept during the pause proves nothing. A buffer of 212 KB holds about 1,000
+# datagrams, which a daemon that handles 30,000 a second has read after 35 ms.
+BACKLOG_MS = 100
 
 WakeupEvent = Tick | ControlReceived | PartPublished
 
--- a/packages/core/tests/core/test_wakeup.py
+++ b/packages/core/tests/core/test_wakeup.py
@@ -10,6 +10,8 @@
 from fuchsiaspread_core.notices import ViewBecameFresh, ViewBecameStale
 from fuchsiaspread_core.wakeup import GAP_LIMIT_MS, STALE_LIMIT_MS, WakeupGuard
 
+from .virtual_fleet import fleet_of, name_of
+
 PEER = EntryName("entry-2")
 ANSWER = ControlReceived(PEER, ProbeAnswer(1, PEER, Revision(1, 1), ()))
 PROBE = ControlReceived(PEER, Probe(1, Revision(1, 1), ()))
@@ -56,6 +58,20 @@
         self.guard.handle(10_000 + STALE_LIMIT_MS, Tick())
         self.assertFalse(self.guard.is_stale)
 
+    def test_answers_to_the_probes_after_a_pause_make_the_view_fresh(self) -> None:
+        """Guards against probes that are sent so early that their answers do not count."""
+        fleet = fleet_of(4)
+        name = name_of(2)
+        fleet.observers[name] = lambda event: self.guard.handle(fleet.now_ms, event)
+        fleet.run(100)
+        fleet.paused.add(name)
+        fleet.run(10_000)
+        fleet.paused.clear()
+        fleet.run(50)
+        self.assertTrue(self.guard.is_stale)
+        fleet.run(300)
+        self.assertFalse(self.guard.is_stale)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/core/tests/core/virtual_fleet.py
+++ b/packages/core/tests/core/virtual_fleet.py
@@ -34,6 +34,7 @@
         self.heard_revisions: list[tuple[EntryName, PeerRevision]] = []
         self.paused: set[EntryName] = set()
         self.is_cut: Callable[[EntryName, EntryName], bool] = lambda sender, receiver: False
+        self.observers: dict[EntryName, Callable[[ControlReceived | Tick], object]] = {}
         self._posted: list[tuple[EntryName, ControlReceived]] = []
 
     def add(self, number: int, seeds: Iterable[int] = (), has_list: Iterable[int] = ()) -> None:
@@ -57,6 +58,8 @@
     def deliver(
         self, name: EntryName, event: MembersPublished | ControlReceived | StopRequested | Tick
     ) -> None:
+        if name in self.observers and isinstance(event, ControlReceived | Tick):
+            self.observers[name](event)
         for effect in self.memberships[name].handle(self.now_ms, event):
             match effect:
                 case SendControl(peer=peer, message=message):
