Measure slopes for the capacity page and cache home managers

Cause: docs/CAPACITY.md needs state and processor time at the target size from measured slopes; each relayed packet computed its home shard anew, a third of the relaying side's time in a profile. Change: a bench of slopes; a bounded cache of home managers that goes with its route table.

--- /dev/null
+++ b/packages/bench/src/fuchsiaspread_bench/capacity.py
@@ -0,0 +1,261 @@
+"""Slopes of state and processor time against sizes, for docs/CAPACITY.md.
+
+Each line is `slope=<name> value=<n> unit=<unit> base=<n> sizes=<a,b,c>`: the least-squares line
+through the measured sizes, its rise for one more unit of size and its value at size 0.
+"""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from statistics import median
+
+from fuchsiaspread_configuration import compile_parts
+from fuchsiaspread_core.configuration import Configuration
+from fuchsiaspread_core.entry import EntryCore
+from fuchsiaspread_core.events import MembersPublished, PartPublished, Tick
+from fuchsiaspread_core.flow_table import FlowRecord, FlowTable, Phase
+from fuchsiaspread_core.identifiers import (
+    Endpoint,
+    EntryName,
+    FlowKey,
+    ServiceName,
+    TargetName,
+    ZoneName,
+)
+from fuchsiaspread_core.members import Member
+from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
+from fuchsiaspread_core.relay import ShardKey
+from fuchsiaspread_core.routing import ManagerRanks, ServiceIndex
+
+from .figure import Figure
+
+TARGETS_A_SERVICE = 6
+ZONE_COUNT = 3
+TARGET_SIZES = (300, 600, 1200)
+MEMBER_SIZES = (100, 200, 400)
+FLOW_SIZES = (50_000, 100_000, 200_000)
+POOL_SIZES = (30, 60, 120)
+TICKS = 200
+RANKED_SHARDS = 50
+NANOSECONDS_PER_MICROSECOND = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """Hold the line through measured sizes."""
+
+    name: str
+    unit: str
+    value: float
+    base: float
+    sizes: tuple[int, ...]
+
+
+def fit(name: str, unit: str, points: Sequence[tuple[int, float]]) -> Slope:
+    """Return the least-squares line through points of size and value."""
+    sizes = tuple(size for size, _ in points)
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(value for _, value in points) / len(points)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    rise = sum((size - mean_size) * (value - mean_value) for size, value in points) / spread
+    return Slope(name, unit, rise, mean_value - rise * mean_size, sizes)
+
+
+def base_part(target_count: int) -> Part:
+    """Return a base file with services of six targets over three availability zones."""
+    lines = ["services:"]
+    for service in range(target_count // TARGETS_A_SERVICE):
+        lines += [
+            f"  - name: service-{service}",
+            "    slots: 3",
+            "    connections: 4000",
+            "    objective: {unbroken_share: 0.9999, in_time_share: 0.99, period_days: 30}",
+            "    addresses:",
+            f'      - {{name: requests, address: "10.20.{service // 250}.{service % 250 + 1}:7001",'
+            " kind: request, deadline_ms: 2000, repeatable: false}",
+            "    targets:",
+        ]
+        for target in range(TARGETS_A_SERVICE):
+            number = service * TARGETS_A_SERVICE + target
+            host = f"10.{40 + number // 62_500}.{number // 250 % 250}.{number % 250 + 1}"
+            lines.append(
+                f'      - {{name: host-{number}, tunnel: "{host}:6080",'
+                f" zone: zone-{target % ZONE_COUNT}, weight: 1, state: active}}"
+            )
+    return Part(PartName.BASE, 1, "\n".join(lines).encode())
+
+
+OVERLAY = Part(PartName.OVERLAY, 1, b"{}")
+
+
+def member(number: int) -> Member:
+    """Return one of many entry VMs over three availability zones."""
+    host = f"10.9.{number // 250}.{number % 250 + 1}"
+    zone = ZoneName(f"zone-{number % ZONE_COUNT}")
+    return Member(EntryName(f"entry-{number}"), zone, Endpoint(host, 1), Endpoint(host, 2))
+
+
+def compiled(target_count: int) -> Configuration:
+    """Return a compiled configuration of the given size."""
+    configuration = compile_parts(base_part(target_count), OVERLAY)
+    assert not isinstance(configuration, InvalidConfiguration), configuration
+    return configuration
+
+
+def processor_us(action: Callable[[], object], repetitions: int) -> float:
+    """Return the median processor time of an action."""
+    times = []
+    for _ in range(repetitions):
+        started_ns = time.process_time_ns()
+        action()
+        times.append((time.process_time_ns() - started_ns) / NANOSECONDS_PER_MICROSECOND)
+    return median(times)
+
+
+def allocated_bytes(build: Callable[[], object]) -> int:
+    """Return the memory that the result of a function keeps."""
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        kept = build()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert kept is not None
+    return after - before
+
+
+def started_core(target_count: int, member_count: int) -> EntryCore:
+    """Return an entry core that knows a configuration and its members."""
+    core = EntryCore(member(0), (), compile_parts, seed=1)
+    core.handle(0, MembersPublished(tuple(member(number) for number in range(member_count))))
+    core.handle(0, PartPublished(OVERLAY))
+    core.handle(0, PartPublished(base_part(target_count)))
+    return core
+
+
+def compile_slope(repetitions: int) -> Slope:
+    """Measure the time to validate and compile a configuration for each target."""
+    points = []
+    for size in TARGET_SIZES:
+        part = base_part(size)
+        compile_us = processor_us(lambda part=part: compile_parts(part, OVERLAY), repetitions)
+        points.append((size, compile_us))
+    return fit("compile_time_a_target", "us", points)
+
+
+def file_slope() -> Slope:
+    """Measure the size of the base file for each target."""
+    points = [(size, float(len(base_part(size).content))) for size in TARGET_SIZES]
+    return fit("file_size_a_target", "bytes", points)
+
+
+def configuration_memory_slope() -> Slope:
+    """Measure the memory of a configuration and its index for each target."""
+
+    def build(size: int) -> object:
+        configuration = compiled(size)
+        return configuration, ServiceIndex(configuration)
+
+    compiled(TARGET_SIZES[0])  # Fills caches that stay the same at any size.
+    points = [
+        (size, float(allocated_bytes(lambda size=size: build(size)))) for size in TARGET_SIZES
+    ]
+    return fit("configuration_memory_a_target", "bytes", points)
+
+
+def rank_slope(repetitions: int) -> Slope:
+    """Measure the time to rank the members of a zone for a shard, for each member."""
+    shards = [
+        ShardKey(ServiceName(f"service-{n}"), ZoneName("zone-0")) for n in range(RANKED_SHARDS)
+    ]
+    points = []
+    for size in MEMBER_SIZES:
+        members = tuple(replace(member(n), zone=ZoneName("zone-0")) for n in range(size))
+
+        def rank_all(members: tuple[Member, ...] = members) -> None:
+            ranks = ManagerRanks(members)
+            for shard in shards:
+                ranks.ranks(shard)
+
+        points.append((size, processor_us(rank_all, repetitions) / RANKED_SHARDS))
+    return fit("rank_time_a_shard_and_member", "us", points)
+
+
+def member_memory_slope() -> Slope:
+    """Measure the memory of an entry core for each member it knows."""
+    started_core(TARGET_SIZES[0], MEMBER_SIZES[0])
+    points = [
+        (size, float(allocated_bytes(lambda size=size: started_core(TARGET_SIZES[0], size))))
+        for size in MEMBER_SIZES
+    ]
+    return fit("memory_a_member", "bytes", points)
+
+
+def flow_memory_slope() -> Slope:
+    """Measure the memory of the flow table for each record."""
+
+    def build(size: int) -> FlowTable:
+        rng = random.Random(1)
+        table = FlowTable()
+        for _ in range(size):
+            flow = FlowKey(rng.randbytes(12))
+            token = rng.randrange(2**32)
+            record = FlowRecord(flow, TargetName("desk-1"), Phase.ESTABLISHED, token, token)
+            table.put(record, 0)
+        return table
+
+    points = [(size, float(allocated_bytes(lambda size=size: build(size)))) for size in FLOW_SIZES]
+    return fit("memory_a_record", "bytes", points)
+
+
+def tick_slope(repetitions: int) -> Slope:
+    """Measure the time of a tick for each shard that the entry VM manages."""
+    points = []
+    for size in POOL_SIZES:
+        # Two targets of each service lie in each zone, so a lone entry VM manages three shards
+        # of a service.
+        core = started_core(size // ZONE_COUNT * TARGETS_A_SERVICE, 1)
+        clock = iter(range(20, 10**9, 20))
+
+        def tick(core: EntryCore = core, clock: object = clock) -> None:
+            for _ in range(TICKS):
+                core.handle(next(clock), Tick())
+
+        points.append((size, processor_us(tick, repetitions) / TICKS))
+    return fit("tick_time_a_managed_shard", "us", points)
+
+
+def slopes(repetitions: int) -> list[Slope]:
+    """Measure all slopes."""
+    return [
+        compile_slope(repetitions),
+        file_slope(),
+        configuration_memory_slope(),
+        rank_slope(repetitions),
+        member_memory_slope(),
+        flow_memory_slope(),
+        tick_slope(repetitions),
+    ]
+
+
+def slope_line(slope: Slope) -> str:
+    """Return the printed form of a slope."""
+    sizes = ",".join(str(size) for size in slope.sizes)
+    return (
+        f"slope={slope.name} value={slope.value:.4g} unit={slope.unit} "
+        f"base={slope.base:.4g} sizes={sizes}"
+    )
+
+
+def measure(repetitions: int) -> list[Figure]:
+    """Print the slopes; they have no target of their own."""
+    for slope in slopes(repetitions):
+        print(slope_line(slope), flush=True)
+    return []
+
+
+if __name__ == "__main__":
+    measure(repetitions=5)
--- a/packages/core/src/fuchsiaspread_core/routing.py
+++ b/packages/core/src/fuchsiaspread_core/routing.py
@@ -1,6 +1,5 @@
 """Routes from service addresses to shards, targets and managers."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from .configuration import (
@@ -27,6 +26,9 @@
 
 # A third rank is never used: manager and backup are the first two.
 RANKS_KEPT = 2
+# Each packet of a flow without a record here needs its home manager; computing the order of
+# shards took a third of the time of relaying it. 65,536 entries take about 8 MB.
+MAX_CACHED_HOMES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,7 @@
     def __init__(self, index: ServiceIndex, ranks: ManagerRanks) -> None:
         self.index = index
         self._ranks = ranks
+        self._homes: dict[FlowKey, EntryName] = {}
 
     @property
     def revision(self) -> Revision:
@@ -132,12 +135,14 @@
 
     def home_manager(self, flow: FlowKey) -> EntryName | None:
         """Return the manager of a flow's home shard, or None."""
+        known = self._homes.get(flow)
+        if known is not None:
+            return known
         route = self.address(flow)
-        if route is None:
-            return None
-        order = self.shard_order(flow, route.service)
-        return self.manager(order[0]) if order else None
-
-    def managed_by(self, entry: EntryName) -> Iterator[ShardKey]:
-        """Iterate over the shards that an entry VM manages."""
-        return (shard for shard in self.index.shards if self.manager(shard) == entry)
+        order = self.shard_order(flow, route.service) if route is not None else []
+        home = self.manager(order[0]) if order else None
+        if home is not None:
+            if len(self._homes) >= MAX_CACHED_HOMES:
+                self._homes.clear()
+            self._homes[flow] = home
+        return home
