Measure control bytes of an entry VM in encoded datagrams

Cause: the bytes that control costs were only estimated. Change: a bench counts the sealed datagrams that the cores of a site send, idle and while 2,000 flows a second open at each entry VM; bytes of copies that ride on data packets are printed apart.

--- /dev/null
+++ b/packages/bench/src/fuchsiaspread_bench/control_bytes.py
@@ -0,0 +1,105 @@
+"""Control traffic of an entry VM, idle and while flows open, in encoded bytes."""
+
+from collections import Counter
+from statistics import median
+
+from fuchsiaspread_configuration import PeerKey
+from fuchsiaspread_core.effects import SendControl, SendRecords, SendToPeer
+from fuchsiaspread_core.identifiers import EntryName
+from fuchsiaspread_core.relay import RelayCopy
+from fuchsiaspread_entry.internal.authentication import Keyring
+from fuchsiaspread_entry.peer_codec import PeerMessage, RelayedPacket, encode_message
+from fuchsiaspread_standins.in_memory.fleet import Fleet
+from fuchsiaspread_standins.in_memory.site import ORDER_DESK, SCREENS, callers, start_site
+
+from .figure import (
+    NO_BASELINE,
+    NO_VALUE,
+    Figure,
+    print_spread,
+    verdict_under,
+)
+
+ENTRY_COUNT = 4
+IDLE_MS = 20_000
+LOAD_MS = 1_000
+FLOWS_PER_SECOND = 2_000 * ENTRY_COUNT
+# A stream that sends nothing more after its first answer.
+QUIET_INTERVAL_MS = 10**6
+TARGET_BYTES_PER_SECOND = 2_000
+IP_AND_UDP_HEADER_BYTES = 28
+BOOT = 2**40
+SECRET_LENGTH_BYTES = 32
+
+
+class ByteCounter:
+    """Add up the encoded size of what entry VMs send each other."""
+
+    def __init__(self, keyring: Keyring) -> None:
+        self._keyring = keyring
+        self.control: Counter[EntryName] = Counter()
+        self.copies: Counter[EntryName] = Counter()
+
+    def observe(self, sender: EntryName, effect: SendToPeer | SendControl | SendRecords) -> None:
+        """Count one message; records of a hand-over are no steady traffic."""
+        match effect:
+            case SendControl(peer, message):
+                self.control[sender] += self._size(sender, peer, (), (message,))
+            case SendToPeer(peer, RelayCopy() as relay):
+                # The packet itself would travel without the copy as well.
+                self.copies[sender] += self._size(sender, peer, (RelayedPacket(relay, b""),), ())
+            case _:
+                pass
+
+    def _size(self, sender: EntryName, peer: EntryName, packets: tuple, controls: tuple) -> int:
+        message = PeerMessage(sender, peer, BOOT, BOOT, packets, controls, BOOT)
+        return IP_AND_UDP_HEADER_BYTES + len(self._keyring.seal(encode_message(message)))
+
+
+def rates(fleet: Fleet, keyring: Keyring, duration_ms: int) -> tuple[float, float]:
+    """Return the most control and copy bytes a second that an entry VM sends."""
+    counter = ByteCounter(keyring)
+    fleet.observe = counter.observe
+    fleet.run(duration_ms)
+    seconds = duration_ms / 1000
+    control = max(counter.control.values(), default=0) / seconds
+    return control, max(counter.copies.values(), default=0) / seconds
+
+
+def measure_once(seed: int, keyring: Keyring) -> tuple[float, float, float]:
+    """Return control bytes a second idle and under load, and copy bytes under load."""
+    _, fleet = start_site(seed, ENTRY_COUNT)
+    idle, _ = rates(fleet, keyring, IDLE_MS)
+    count = FLOWS_PER_SECOND * LOAD_MS // 1000
+    opened = callers(count, SCREENS, ORDER_DESK, True, seed, QUIET_INTERVAL_MS)
+    for number, caller in enumerate(opened):
+        delay_ms = number * LOAD_MS // count
+        fleet.at(delay_ms, lambda caller=caller: fleet.add_caller(caller))
+    loaded, copies = rates(fleet, keyring, LOAD_MS)
+    return idle, loaded, copies
+
+
+def measure(repetitions: int) -> list[Figure]:
+    """Measure control traffic; copies ride on data packets and are printed apart."""
+    keyring = Keyring((PeerKey(id=1, secret=bytes(SECRET_LENGTH_BYTES)),))
+    results = [measure_once(seed, keyring) for seed in range(1, repetitions + 1)]
+    idle, loaded, copies = (list(values) for values in zip(*results, strict=True))
+    print_spread("control_bytes_idle product", "bytes/s", idle)
+    print_spread("control_bytes_loaded product", "bytes/s", loaded)
+    print_spread("copy headers on data packets while loaded", "bytes/s", copies)
+    figures = []
+    for name, values in (("control_bytes_idle", idle), ("control_bytes_loaded", loaded)):
+        value = median(values)
+        verdict = verdict_under(value, TARGET_BYTES_PER_SECOND)
+        figures.append(
+            Figure(
+                name,
+                value,
+                "bytes/s",
+                NO_BASELINE,
+                NO_VALUE,
+                TARGET_BYTES_PER_SECOND,
+                verdict,
+            )
+        )
+    return figures
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -77,6 +77,10 @@
         self.outcomes: Counter[FlowOutcome] = Counter()
         self.cuts: set[tuple[str, str]] = set()
         self.sprayed: list[EntryName] = []
+        # Called with each message between entry VMs, for measurements.
+        self.observe: Callable[[EntryName, SendToPeer | SendControl | SendRecords], None] = (
+            lambda sender, effect: None
+        )
         self._by_flow: dict[bytes, FleetCaller] = {}
         self._parts: dict[PartName, Part] = {}
         self._compile = compile_parts
@@ -209,6 +213,8 @@
 
     def _carry_out(self, entry: FleetEntry, effect: Effect) -> None:
         me = entry.member.name
+        if isinstance(effect, SendToPeer | SendControl | SendRecords):
+            self.observe(me, effect)
         match effect:
             case SendToTarget(tunnel, payload):
                 if (me, tunnel.host) not in self.cuts:
