--- /dev/null
+++ b/packages/bench/src/fuchsiaspread_bench/__main__.py
@@ -0,0 +1,66 @@
+"""Run all measurements and print their figures."""
+
+import multiprocessing
+import os
+import time
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+
+from .figure import figure_line
+from .runner import Result, is_there, run_module
+
+QUICK_REPETITIONS = 2
+FULL_REPETITIONS = 5
+# These run on a virtual clock or count bytes, so that running side by side changes no figure.
+VIRTUAL_CLOCK_MODULES = (
+    "flows_kept",
+    "crest",
+    "spread",
+    "stragglers",
+    "lies",
+    "drain",
+    "configuration",
+    "flow_memory",
+)
+# These measure processor time or packets a second and run alone, one after another.
+WALL_CLOCK_MODULES = ("control", "packets")
+PROCESS_COUNT = 4
+
+
+def run_all(repetitions: int) -> Iterator[Result]:
+    """Run the measurements that are there, those on a virtual clock side by side."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(PROCESS_COUNT, context) as pool:
+        jobs = [
+            pool.submit(run_module, module, repetitions)
+            for module in VIRTUAL_CLOCK_MODULES
+            if is_there(module)
+        ]
+        for job in as_completed(jobs):
+            yield job.result()
+    for module in WALL_CLOCK_MODULES:
+        if is_there(module):
+            yield run_module(module, repetitions)
+
+
+def main() -> None:
+    """Print the figures; a missed target is a result and no error."""
+    is_quick = os.environ.get("QUICK", "0") == "1"
+    repetitions = QUICK_REPETITIONS if is_quick else FULL_REPETITIONS
+    modules = [*VIRTUAL_CLOCK_MODULES, *WALL_CLOCK_MODULES]
+    absent = [module for module in modules if not is_there(module)]
+    print(f"# repetitions={repetitions} not_in_this_checkout={','.join(absent) or 'none'}")
+    started_s = time.monotonic()
+    figures = []
+    for result in run_all(repetitions):
+        print(f"# module={result.module} duration_s={result.duration_s:.1f}")
+        print(result.comments, end="")
+        for figure in result.figures:
+            print(figure_line(figure), flush=True)
+        figures += result.figures
+    met = sum(figure.verdict == "met" for figure in figures)
+    print(f"# met={met} missed={len(figures) - met} total_s={time.monotonic() - started_s:.1f}")
+
+
+if __name__ == "__main__":
+    main()
