Send waiting opens round the shards without losing them

A retried open could come back to a target that had failed it. Slots stayed busy for requests whose end another manager saw during a partition. Change: opens wait at their home shard only and start a new round from there; a shard that passed an open on offers it again unless the packet is an immediate duplicate; requests past their deadline are held like cancelled ones, so that the target's load hints free their slots.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -86,7 +86,7 @@
         returned = self._respill.returned(request)
         pending = returned or self._wait.pending(now_ms, request, self._history)
         if returned is not None or not self._queue.must_wait(pending.lane):
-            load = self._view.choose(now_ms, request.flow, pending.lane)
+            load = self._view.choose(now_ms, request.flow, pending.lane, pending.tried)
             if load is not None:
                 return self._admit(now_ms, pending, load)
         if request.may_spill:
@@ -182,7 +182,8 @@
         decisions = self._fail_silent_opens(now_ms)
         for pending in self._queue.expire(now_ms):
             decisions.append(Refuse(pending.request.flow, RefusalReason.DEADLINE))
-        decisions += self._outcomes.tick(now_ms) + self._end_overdue(now_ms)
+        decisions += self._outcomes.tick(now_ms)
+        self._hold_overdue(now_ms)
         for load in self._view:
             self._flows.free_held(load, load.held.expire(now_ms))
         decisions += self._refuse_unservable(now_ms) + self._serve(now_ms)
@@ -271,14 +272,15 @@
                 decisions.append(Refuse(pending.request.flow, reason))
         return decisions
 
-    def _end_overdue(self, now_ms: int) -> list[Decision]:
-        """Free slots of requests whose end went to another manager and was never seen here."""
+    def _hold_overdue(self, now_ms: int) -> None:
+        """Treat requests past their deadline like cancelled ones.
+
+        The end of a request may have gone to another manager while views differed. Without this
+        its slot would stay busy for good; as a held slot it is freed by the target's load hints.
+        """
         running = self._flows.running.items()
-        overdue = [flow for flow, one in running if now_ms >= one.due_ms + one.hold_ms]
-        decisions: list[Decision] = []
-        for flow in overdue:
-            decisions += self.release(now_ms, flow, FlowEnd.EXPIRED)
-        return decisions
+        for flow in [flow for flow, one in running if now_ms >= one.due_ms]:
+            self._flows.hold(now_ms, flow)
 
     def _fail_silent_opens(self, now_ms: int) -> list[Decision]:
         openings = self._flows.openings.items()
--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -26,7 +26,9 @@
     caller_token: int
     shard: ShardKey
     tried: tuple[ZoneName, ...]
+    # The first packet of the open, and the latest offer to the shard.
     received_ms: int
+    offered_ms: int
     # Hops so far; they go on counting when the open spills, so that no chain of spills loops.
     hops: int
 
--- a/packages/core/src/fuchsiaspread_core/open_path.py
+++ b/packages/core/src/fuchsiaspread_core/open_path.py
@@ -1,5 +1,6 @@
 """The path of opens: home manager, spill to other shards, admission, refusal."""
 
+from dataclasses import replace
 from typing import assert_never
 
 from .admission import (
@@ -23,6 +24,8 @@
 
 # The caller token of a record that was learnt from a packet of an established flow.
 UNKNOWN_TOKEN = 0
+# Below the pause between the rounds of a waiting open, above the delay of a duplicated packet.
+SPILL_MEMORY_MS = 15
 # Reasons that concern one shard only, so that another shard may still run the work.
 SPILLED_REASONS = frozenset({RefusalReason.NO_TARGET, RefusalReason.RETRIES_USED})
 
@@ -148,29 +151,39 @@
     ) -> list[Effect]:
         record = self._state.table.record(event.flow)
         effects: list[Effect] = []
-        if record is not None and not self._is_passed_on(record, event, relay):
-            if not self._is_new_incarnation(record, event, address):
+        received_ms = now_ms
+        if record is not None:
+            if self._is_new_incarnation(record, event, address):
+                effects = self.withdraw(now_ms, event.flow)
+                self._state.table.remove(event.flow)
+            elif not self._is_offered_again(now_ms, record, relay):
                 return self._repeat(now_ms, record, event, relay)
-            effects = self.withdraw(now_ms, event.flow)
-            self._state.table.remove(event.flow)
+            elif event.flow in self._state.pending:
+                received_ms = self._state.pending[event.flow].received_ms
         self._state.pending[event.flow] = PendingOpen(
-            event.payload, event.caller_token, relay.shard, relay.tried, now_ms, relay.hops
+            event.payload,
+            event.caller_token,
+            relay.shard,
+            relay.tried,
+            received_ms,
+            now_ms,
+            relay.hops,
         )
         return effects + self._offer(now_ms, event.flow, address)
 
-    def _is_passed_on(self, record: FlowRecord, event: CallerOpen, relay: RelayOpen) -> bool:
-        """Return whether other shards passed this open on to a shard not yet tried here.
+    def _is_offered_again(self, now_ms: int, record: FlowRecord, relay: RelayOpen) -> bool:
+        """Return whether an open that was passed on from here is offered here once more.
 
-        One entry VM may manage several shards of a service, and the home shard is tried again
-        when all others were full.
+        One entry VM may manage several shards of a service, and waiting opens go round the
+        shards again. A duplicate that follows at once goes after the first one instead, since
+        another shard may be opening the flow.
         """
-        pending = self._state.pending.get(event.flow)
-        return (
-            record.phase is Phase.SPILLED
-            and record.caller_token == event.caller_token
-            and pending is not None
-            and pending.shard.zone in relay.tried
-        )
+        if record.phase is not Phase.SPILLED:
+            return False
+        pending = self._state.pending.get(record.flow)
+        if pending is None or pending.shard.zone in relay.tried:
+            return True
+        return now_ms - pending.offered_ms >= SPILL_MEMORY_MS
 
     def _is_new_incarnation(
         self, record: FlowRecord, event: CallerOpen, address: AddressRoute
@@ -208,8 +221,9 @@
         pool = self._state.pools.get(pending.shard)
         if pool is None:
             return drop(DropReason.NO_MANAGER)
-        is_last = pending.shard.zone in pending.tried or self._next_shard(flow, pending) is None
+        # Opens wait at their home shard only, which sends them round the others.
         has_others = len(self._order(flow)) > 1
+        is_last = pending.shard.zone in pending.tried or not has_others
         request = OpenRequest(
             flow, pending.caller_token, address.kind, not is_last, is_last and has_others
         )
@@ -266,8 +280,8 @@
             address = self._state.routes.address(flow)
             if address is None:
                 return drop(DropReason.UNKNOWN_SERVICE)
-            self._state.pending[flow] = PendingOpen(
-                pending.payload, caller_token, shard, tried, pending.received_ms, pending.hops
+            self._state.pending[flow] = replace(
+                pending, shard=shard, tried=tried, offered_ms=now_ms
             )
             return self._offer(now_ms, flow, address)
         return self._pass_on(flow, relay, pending.payload)
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -28,6 +28,7 @@
 from fuchsiaspread_core.events import (
     ControlReceived,
     Event,
+    LoadReported,
     MembersPublished,
     PartPublished,
     PartsReceived,
@@ -45,6 +46,8 @@
 
 TICK_MS = 20
 LINK_DELAY_MS = 1
+# How often entry VMs read the targets' load endpoints.
+LOAD_INTERVAL_MS = 500
 # How long the fabric goes on to send packets to an entry VM that is leaving.
 FABRIC_LAG_MS = 700
 
@@ -205,8 +208,16 @@
             return
         if not entry.is_frozen:
             self._handle(entry, Tick())
+            if self.now_ms % LOAD_INTERVAL_MS < TICK_MS:
+                self._report_loads(entry)
         self.at(TICK_MS, lambda: self._tick(name, core))
 
+    def _report_loads(self, entry: FleetEntry) -> None:
+        for host, target in self.targets.items():
+            if not target.is_silent and (entry.member.name, host) not in self.cuts:
+                busy = target.busy_slots(self.now_ms)
+                self._handle(entry, LoadReported(target.name, busy, False))
+
     def _handle(self, entry: FleetEntry, event: Event) -> None:
         for effect in entry.core.handle(self.now_ms, event):
             self._carry_out(entry, effect)
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/target.py
@@ -98,6 +98,9 @@
         number = packet.number
         return TargetPacket(TargetSignal.CLOSE, packet.flow, packet.acknowledges, number, number)
 
+    def busy_slots(self, now_ms: int) -> int:
+        """Return how many requests run."""
+        return sum(end_ms > now_ms for end_ms in self._ends_ms.values())
+
     def _note_run(self, now_ms: int) -> None:
-        running = sum(end_ms > now_ms for end_ms in self._ends_ms.values())
-        self.most_running = max(self.most_running, running)
+        self.most_running = max(self.most_running, self.busy_slots(now_ms))
