--- a/packages/core/src/fuchsiaspread_core/flow_table.py
+++ b/packages/core/src/fuchsiaspread_core/flow_table.py
@@ -110,6 +110,11 @@
         """Return the phase of a row."""
         return Phase(self.phases[row])
 
+    def phase_of(self, flow: FlowKey) -> Phase | None:
+        """Return the phase of a flow, or None when there is no record."""
+        row = self._rows.get(flow, -1)
+        return None if row < 0 else Phase(self.phases[row])
+
     def record(self, flow: FlowKey) -> FlowRecord | None:
         """Return the record of a flow, or None."""
         row = self._rows.get(flow, -1)
--- a/packages/core/src/fuchsiaspread_core/open_path.py
+++ b/packages/core/src/fuchsiaspread_core/open_path.py
@@ -209,7 +209,10 @@
         if pool is None:
             return drop(DropReason.NO_MANAGER)
         is_last = pending.shard.zone in pending.tried or self._next_shard(flow, pending) is None
-        request = OpenRequest(flow, pending.caller_token, address.kind, not is_last)
+        has_others = len(self._order(flow)) > 1
+        request = OpenRequest(
+            flow, pending.caller_token, address.kind, not is_last, is_last and has_others
+        )
         return self._apply_one(now_ms, pool.offer(now_ms, request))
 
     def _apply_one(self, now_ms: int, decision: Decision) -> list[Effect]:
@@ -243,6 +246,10 @@
         pending = self._state.pending.get(flow)
         if pending is None:
             return []
+        if self._state.table.phase_of(flow) is Phase.QUEUED:
+            # A waiting open begins another round over the other shards; the admission paces it.
+            pending.tried = ()
+            pending.hops = 0
         self._put(now_ms, flow, NO_TARGET, Phase.SPILLED)
         return self._spill(now_ms, flow, pending.caller_token)
 
