--- a/packages/standins/src/fuchsiaspread_standins/demo.py
+++ b/packages/standins/src/fuchsiaspread_standins/demo.py
@@ -103,18 +103,28 @@
             return Summary(demo.example, None, {}, tuple(problems))
         say(f"ready: {', '.join(fleet.running())}")
         for numbered in scenario.steps:
-            say(numbered.text)
+            say(f"{numbered.text:52} {progress(await fleet.report())}")
             failed = await runner.run(numbered.step)
             if failed is not None:
                 problems.append(f"{numbered.text}: {failed.problem}")
         problems += [failed.problem for failed in await runner.finish()]
-        report: SiteReport = await fleet.report()
-        return Summary(demo.example, tally(report), await revisions(fleet), tuple(problems))
+        counts = tally(await fleet.report())
+        return Summary(demo.example, counts, await revisions(fleet), tuple(problems))
     finally:
         runner.close()
         await fleet.stop()
 
 
+def progress(report: SiteReport) -> str:
+    """Return the state of the flows in one line."""
+    counts, open_count = tally(report), report.callers.open_count
+    broken = counts.broken_streams + counts.broken_requests
+    return (
+        f"{open_count} open, {counts.answered_requests} answered, "
+        f"{counts.refused} refused, {broken} broken"
+    )
+
+
 async def revisions(fleet: Fleet) -> dict[str, str]:
     """Return the revision in force at each entry VM, as base/overlay."""
     found = {}
--- a/packages/standins/src/fuchsiaspread_standins/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/fleet.py
@@ -61,6 +61,7 @@
         self.expected = ExpectedRevision(0, 0)
         self.drained_ms: dict[str, int] = {}
         self._leaving: set[str] = set()
+        self._started: set[str] = set()
         self._listed = {entry.name for entry in self.deployment.entries}
         self._sprayed = {entry.name for entry in self.deployment.entries}
         self._rules: tuple[LinkRule, ...] = ()
@@ -102,6 +103,7 @@
         )
         self._list_members()
         await asyncio.gather(*(process.start() for process in self.processes.values()))
+        self._started.update(self.processes)
         waits = [process.wait_ready(START_LIMIT_S) for process in self.processes.values()]
         return [answer for answer in await asyncio.gather(*waits) if answer is not None]
 
@@ -142,18 +144,21 @@
         """Start an entry VM that is not running and list it."""
         process = self.processes[name]
         await process.start()
+        self._started.add(name)
         await process.set_rules(self._rules)
         self._leaving.discard(name)
         self._listed.add(name)
         self._list_members()
         failure = await process.wait_ready(START_LIMIT_S)
-        self._sprayed.add(name)
-        self._spray()
+        if failure is None:
+            self._sprayed.add(name)
+            self._spray()
         return failure
 
     async def stop_entry(self, name: str) -> int | None:
         """Stop an entry VM gracefully and return its exit status, or None when it stays."""
         self.processes[name].terminate()
+        self._started.discard(name)
         self._leaving.add(name)
         self._later(LIST_LAG_S, self._list_members)
         self._later(WITHDRAW_LAG_S, lambda: self._withdraw(name))
@@ -164,6 +169,7 @@
 
     async def kill_entry(self, name: str) -> None:
         """Kill an entry VM; fabric and list notice later."""
+        self._started.discard(name)
         self.processes[name].kill()
         await self.processes[name].wait_ended(STOP_LIMIT_S)
         self._listed.discard(name)
@@ -189,6 +195,11 @@
         cuts = (LinkRule(inside, outside, Cut()), LinkRule(outside, inside, Cut()))
         await self.set_rules(self._rules + cuts)
 
+    async def hide_platform(self, entry: str) -> None:
+        """Separate an entry VM from the platform."""
+        own = frozenset({self.processes[entry].host})
+        await self.add_rule(LinkRule(own, frozenset({self.deployment.platform.host}), Cut()))
+
     async def set_rules(self, rules: tuple[LinkRule, ...]) -> None:
         """Put link faults in force everywhere; no rules heal all links."""
         self._rules = rules
@@ -214,6 +225,10 @@
         pairs = self.processes.items()
         return [name for name, process in pairs if process.is_running and not process.is_frozen]
 
+    def ended_by_themselves(self) -> list[str]:
+        """Return the names of the entry VMs that ended without being asked to."""
+        return [n for n in self._started if not self.processes[n].is_running]
+
     def address(self, name: str) -> Endpoint:
         """Return the endpoint of a named service address."""
         base = yaml.safe_load(self.deployment.base)
--- a/packages/standins/src/fuchsiaspread_standins/platform.py
+++ b/packages/standins/src/fuchsiaspread_standins/platform.py
@@ -99,7 +99,7 @@
         self.call_count = 0
         self.called = asyncio.Event()
         self.condition: Condition = Healthy()
-        self._changed = asyncio.Event()
+        self._watches: set[asyncio.Event] = set()
         self._application = Application([("/v1/kv/(.+)", KeyHandler, {"platform": self})])
         self._server: HTTPServer | None = None
         self.endpoint = self._listen(listen)
@@ -132,17 +132,20 @@
             await self._server.close_all_connections()
             self._server = None
 
-    async def changed(self, limit_s: float) -> None:
-        """Wait for a visible change, or for the limit."""
+    async def watch(self, woken: asyncio.Event, limit_s: float) -> None:
+        """Wait until the event is set, by a visible change or by its owner, or for the limit."""
+        self._watches.add(woken)
         try:
-            await asyncio.wait_for(self._changed.wait(), limit_s)
+            await asyncio.wait_for(woken.wait(), limit_s)
         except TimeoutError:
             return
+        finally:
+            self._watches.discard(woken)
 
     def _show(self) -> None:
         self.store.show()
-        self._changed.set()
-        self._changed = asyncio.Event()
+        for woken in self._watches:
+            woken.set()
 
     def _reopen(self) -> None:
         if self._server is None:
@@ -162,10 +165,12 @@
         """Take the service that the handler reads from."""
         self._platform = platform
         self._is_closed = False
+        self._woken = asyncio.Event()
 
     def on_connection_close(self) -> None:
         """Note that nobody waits for the answer."""
         self._is_closed = True
+        self._woken.set()
 
     async def get(self, key: str) -> None:
         """Answer when the key's index is above the given one, or when the wait is over."""
@@ -177,7 +182,11 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + limit_s
         while index > 0 and self._index_of(key) == index and loop.time() < end_s:
-            await platform.changed(end_s - loop.time())
+            if self._is_closed:
+                return
+            await platform.watch(self._woken, end_s - loop.time())
+            if not self._is_closed:
+                self._woken.clear()
         match platform.condition:
             case Slow(delay_ms):
                 await asyncio.sleep(delay_ms / 1000)
--- a/packages/standins/src/fuchsiaspread_standins/scenario/language.py
+++ b/packages/standins/src/fuchsiaspread_standins/scenario/language.py
@@ -28,6 +28,7 @@
     | "fault" "freeze" NAME                                           -> fault_freeze
     | "fault" "thaw" NAME                                             -> fault_thaw
     | "fault" "isolate" NAME                                          -> fault_isolate
+    | "fault" "hide" "platform" "from" NAME                           -> fault_hide
     | "fault" "heal"                                                  -> fault_heal
     | "fault" "lose" INT "%"                                          -> fault_lose
     | "fault" "duplicate" INT "%"                                     -> fault_duplicate
@@ -99,6 +100,7 @@
     "fault_freeze": steps.FreezeEntry,
     "fault_thaw": steps.ThawEntry,
     "fault_isolate": steps.IsolateZone,
+    "fault_hide": steps.HidePlatform,
     "fault_heal": steps.HealLinks,
     "fault_lose": lambda percent: steps.TroubleLinks(Lose(percent / 100)),
     "fault_duplicate": lambda percent: steps.TroubleLinks(Duplicate(percent / 100)),
--- a/packages/standins/src/fuchsiaspread_standins/scenario/runner.py
+++ b/packages/standins/src/fuchsiaspread_standins/scenario/runner.py
@@ -71,6 +71,7 @@
                 return await self._disturb_entry(step)
             case (
                 steps.IsolateZone()
+                | steps.HidePlatform()
                 | steps.TroubleLinks()
                 | steps.HealLinks()
                 | steps.SwitchPlatform()
@@ -89,8 +90,11 @@
     async def finish(self) -> list[Failed]:
         """Wait for the requests and return the promises that were broken."""
         await self._wait(steps.WaitRequests())
-        report = await self.fleet.report()
-        return broken_promises(report)
+        ended = [
+            Failed(f"{name} ended by itself:\n{self.fleet.processes[name].output()}")
+            for name in self.fleet.ended_by_themselves()
+        ]
+        return ended + broken_promises(await self.fleet.report())
 
     def close(self) -> None:
         """End the loads that still run."""
@@ -153,6 +157,8 @@
         match step:
             case steps.IsolateZone(zone):
                 await self.fleet.isolate_zone(zone)
+            case steps.HidePlatform(entry):
+                await self.fleet.hide_platform(entry)
             case steps.TroubleLinks(fault):
                 await self.fleet.add_rule(LinkRule(frozenset(), frozenset(), fault))
             case steps.HealLinks():
--- a/packages/standins/src/fuchsiaspread_standins/scenario/steps.py
+++ b/packages/standins/src/fuchsiaspread_standins/scenario/steps.py
@@ -76,6 +76,13 @@
     zone: str
 
 
+@dataclass(frozen=True, slots=True)
+class HidePlatform:
+    """Separate an entry VM from the platform."""
+
+    entry: str
+
+
 @dataclass(frozen=True, slots=True)
 class TroubleLinks:
     """Put a fault on every link."""
@@ -175,7 +182,9 @@
 
 Load = LoadStreams | LoadRequests
 EntryFault = KillEntry | StopEntry | StartEntry | FreezeEntry | ThawEntry
-SurroundingFault = IsolateZone | TroubleLinks | HealLinks | SwitchPlatform | SwitchTarget | LieLoad
+SurroundingFault = (
+    HidePlatform | IsolateZone | TroubleLinks | HealLinks | SwitchPlatform | SwitchTarget | LieLoad
+)
 Wait = WaitTime | WaitStreams | WaitRequests | WaitRevision
 Expectation = (
     ExpectBrokenStreams
--- /dev/null
+++ b/packages/standins/tests/integration/test_scenarios.py
@@ -0,0 +1,43 @@
+"""Runs each scenario file on real processes."""
+
+import subprocess
+import sys
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+FILES = sorted((Path(__file__).parent.parent / "scenarios").glob("*.scenario"))
+EXAMPLES = Path(__file__).parents[4] / "examples"
+# A scenario mostly waits; each takes five processes, so that three keep half of ten cores free.
+CONCURRENT_SCENARIOS = 3
+
+
+def run(path):
+    command = [sys.executable, "-m", "fuchsiaspread_standins.scenario", str(EXAMPLES), str(path)]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+class Scenarios(unittest.TestCase):
+    """Guards what must always hold against each failure, alone and in pairs."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.pool = ThreadPoolExecutor(CONCURRENT_SCENARIOS)
+        cls.finished = {path: cls.pool.submit(run, path) for path in FILES}
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.pool.shutdown()
+
+    def check(self, path):
+        finished = self.finished[path].result()
+        self.assertEqual(0, finished.returncode, finished.stdout + finished.stderr)
+
+
+def _test_of(path):
+    return lambda self: self.check(path)
+
+
+# One test for each file, so that a failing scenario is reported by its name.
+for _path in FILES:
+    setattr(Scenarios, "test_" + _path.stem.replace("-", "_"), _test_of(_path))
