--- a/packages/core/src/fuchsiaspread_core/membership.py
+++ b/packages/core/src/fuchsiaspread_core/membership.py
@@ -1,6 +1,6 @@
 """Live members of the fleet, found by probes at constant cost (SWIM)."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import assert_never
 
 from .configuration import Revision
@@ -21,32 +21,23 @@
 )
 from .internal.roster import STATE_TRANSITIONS, MemberSignal, Roster
 from .internal.suspicions import Suspicions
-from .members import Member, MemberState
+from .members import Member, MembersChanged, MemberState
 from .notices import MemberChanged
-from .wakeup import GAP_LIMIT_MS
+from .wakeup import BACKLOG_MS, GAP_LIMIT_MS
 
 __all__ = ["MembersChanged", "Membership", "MembershipEffect", "MembershipEvent", "PeerRevision"]
 
 # With 4 members, 3 intervals until the probe of a killed one, 250 ms without an answer and 500 ms
-# of suspicion make up 1,950 ms.
+# of suspicion make up 1,950 ms. An interval must be longer than the timeout of indirect probes.
 PROBE_INTERVAL_MS = 400
 INDIRECT_PROBES = 3
 # One dead member is probed in this time, however many there are.
 DEAD_PROBE_INTERVAL_MS = 2000
 # Members that hear at once of a new revision, a stop or a wake-up; the rest hear from them.
 ANNOUNCEMENT_PROBES = 3
-# After a pause, what the socket buffers kept is read first.
-WAKEUP_PROBE_DELAY_MS = 100
 FORGET_INTERVAL_MS = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class MembersChanged:
-    """Report the live members, sorted by name; suspected members count as live."""
-
-    live: tuple[Member, ...]
-
-
 MembershipEvent = MembersPublished | ControlReceived | StopRequested | Tick
 MembershipEffect = SendControl | MembersChanged | PeerRevision | Notify
 
@@ -133,7 +124,7 @@
             self._observe(now_ms, name, MemberSignal.SUSPICION_EXPIRED)
         for name in self._suspicions.take_probes(now_ms):
             # Carries the suspicion to its subject, which can refute it at once.
-            self._send_probe(name)
+            self._send_probe(name, is_extra=True)
         if now_ms >= self._forget_due_ms:
             self._forget_due_ms = now_ms + FORGET_INTERVAL_MS
             for member in self._roster.forget_unlisted(now_ms):
@@ -145,12 +136,14 @@
         """Discard what timed out during a pause of the own process: nobody else was at fault."""
         self._open = None
         self._suspicions.postpone(gap_ms)
-        # The others may count this entry VM as dead; their answers say so and are refuted.
-        self._announce_due_ms = self._probe_due_ms = now_ms + WAKEUP_PROBE_DELAY_MS
+        # The others may count this entry VM as dead; their answers say so and are refuted. They are
+        # asked once the backlog is read, so that these answers count as a fresh view.
+        self._announce_due_ms = self._probe_due_ms = now_ms + BACKLOG_MS
 
     def _send_due_probes(self, now_ms: int) -> None:
         if now_ms >= self._probe_due_ms:
             self._probe_due_ms = now_ms + PROBE_INTERVAL_MS
+            assert self._open is None, "a probe ends before the next interval starts"
             name = self._answering.next()
             if name is not None:
                 self._open = OpenProbe(name, self._send_probe(name), now_ms)
@@ -160,14 +153,19 @@
             self._dead_probe_due_ms = now_ms + DEAD_PROBE_INTERVAL_MS
             name = self._dead.next()
             if name is not None:
-                self._send_probe(name)
+                self._send_probe(name, is_extra=True)
 
     def _check_open_probe(self, now_ms: int) -> None:
         probe = self._open
         while probe is not None and self._open is probe and probe.is_due(now_ms):
-            if probe.signal(ProbeSignal.TIMEOUT) is ProbePhase.INDIRECT:
+            entry = self._roster.get(probe.target)
+            if entry is None or entry.member.state in (MemberState.SUSPECTED, MemberState.DEAD):
+                # Silence adds nothing to a suspicion, so asking others would only cost messages.
+                self._open = None
+            elif probe.signal(ProbeSignal.TIMEOUT) is ProbePhase.INDIRECT:
+                self._gossip.note_silence(probe.target)
                 # With 10% loss, the retry avoids four of five false suspicions.
-                self._send_probe(probe.target, probe.sequence)
+                self._send_probe(probe.target, probe.sequence, is_extra=True)
                 for helper in self._answering.sample(INDIRECT_PROBES, frozenset({probe.target})):
                     self._ask_to_probe(helper, probe)
             else:
@@ -194,6 +192,7 @@
         if self._roster.get(sender) is None:
             # Without the sender's own record there is no address to answer to.
             return
+        self._gossip.note_message(sender, message)
         self._effects.append(PeerRevision(sender, message.revision, message.newest))
         match message:
             case Probe():
@@ -207,7 +206,6 @@
 
     def _take_answer(self, sender: EntryName, answer: ProbeAnswer) -> None:
         if answer.subject == sender:
-            self._gossip.note_answer(sender)
             relayed = self._relayed.pop(answer.sequence, sender)
             if relayed is not None:
                 self._answer(relayed.requester, relayed.sequence, (), relayed.subject)
@@ -222,19 +220,21 @@
             return
         until_ms = now_ms + INDIRECT_TIMEOUT_MS
         relayed = RelayedProbe(requester, request.sequence, request.subject, until_ms)
-        self._relayed.add(self._send_probe(request.subject), relayed)
+        self._relayed.add(self._send_probe(request.subject, is_extra=True), relayed)
 
-    def _send_probe(self, name: EntryName, retried_sequence: int | None = None) -> int:
+    def _send_probe(
+        self, name: EntryName, retried_sequence: int | None = None, is_extra: bool = False
+    ) -> int:
         if retried_sequence is None:
             self._sequence += 1
         sequence = self._sequence if retried_sequence is None else retried_sequence
-        updates = self._gossip.updates_for(name)
+        updates = self._gossip.updates_for(name, is_extra)
         probe = Probe(sequence, self.revision, updates, self.newest_revision)
         self._effects.append(SendControl(name, probe))
         return sequence
 
     def _ask_to_probe(self, helper: EntryName, probe: OpenProbe) -> None:
-        updates = self._gossip.updates_for(helper)
+        updates = self._gossip.updates_for(helper, is_extra=True)
         request = ProbeRequest(
             probe.sequence, probe.target, self.revision, updates, self.newest_revision
         )
@@ -293,6 +293,7 @@
             self._hear_of_self(update)
             return
         if not self._roster.apply(now_ms, update):
+            self._gossip.note_repeated(update)
             return
         self._gossip.spread(update.name)
         if update.state is MemberState.SUSPECTED:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -9,6 +9,7 @@
 from fuchsiaspread_core.identifiers import Endpoint, EntryName
 from fuchsiaspread_core.members import Member
 from google.protobuf.message import Message
+from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
@@ -28,6 +29,7 @@
     PartsAsked,
     PeerServiceMessage,
     QuestionFailed,
+    TransfersAwaited,
 )
 from ..messages.peer_grpc import PeerServiceBase
 from ..messages.peer_pb2 import (
@@ -42,6 +44,11 @@
 # More calls at a time than this come from a fault or an attack; the rest are turned away.
 MAX_CALLS = 64
 BACKLOG = 100
+# What a caller may send before its proof is checked; a transfer of records is smaller.
+MAX_UNREAD_BYTES = 256 * 1024
+LIMITS = Configuration(
+    http2_connection_window_size=MAX_UNREAD_BYTES, http2_stream_window_size=MAX_UNREAD_BYTES
+)
 
 
 class PeerServiceTask(PeerServiceBase):
@@ -68,6 +75,7 @@
         self._fetching: set[EntryName] = set()
         # Records that wait for a running transfer to the same peer, so that they keep their order.
         self._transfers: dict[EntryName, list[SendRecords]] = {}
+        self._awaiting: list[asyncio.Future[None]] = []
         self._call_count = 0
         self._reporter = Reporter(mailboxes.admin)
         self._socket = socket.create_server(listen, backlog=BACKLOG)
@@ -80,7 +88,7 @@
     async def run(self) -> None:
         """Serve and call until cancelled."""
         self._socket.setblocking(False)
-        server = Server([self])
+        server = Server([self], config=LIMITS)
         await server.start(sock=self._socket)
         self._reporter.start()
         try:
@@ -169,6 +177,9 @@
                 elif peer in self._members:
                     self._transfers[peer] = [message]
                     calls.create_task(self._transfer(self._members[peer]))
+            case TransfersAwaited(reply=reply):
+                self._awaiting.append(reply)
+                self._tell_awaiting()
             case BootHeard(peer=peer, boot=boot):
                 self._caller.boots[peer] = boot
             case DirectoryChanged(members=members):
@@ -200,6 +211,15 @@
                 cause = outcome.cause
                 self._log.write(Level.WARNING, "transfer_failed", peer=peer.name, cause=cause)
         del self._transfers[peer.name]
+        self._tell_awaiting()
+
+    def _tell_awaiting(self) -> None:
+        if self._transfers:
+            return
+        for reply in self._awaiting:
+            if not reply.done():
+                reply.set_result(None)
+        self._awaiting.clear()
 
 
 def _path(method: str) -> str:
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -77,6 +77,10 @@
         self.outcomes: Counter[FlowOutcome] = Counter()
         self.cuts: set[tuple[str, str]] = set()
         self.sprayed: list[EntryName] = []
+        # Called with each message between entry VMs, for measurements.
+        self.observe: Callable[[EntryName, SendToPeer | SendControl | SendRecords], None] = (
+            lambda sender, effect: None
+        )
         self._by_flow: dict[bytes, FleetCaller] = {}
         self._parts: dict[PartName, Part] = {}
         self._compile = compile_parts
@@ -124,7 +128,7 @@
     def kill_entry(self, name: EntryName) -> None:
         """End an entry VM without notice; the fabric notices at once, the platform does not."""
         del self.entries[name]
-        self.sprayed.remove(name)
+        self._leave_fabric(name)
 
     def stop_entry(self, name: EntryName) -> None:
         """Ask an entry VM to stop gracefully; the fabric follows a little later."""
@@ -143,6 +147,8 @@
         """Let a paused entry VM go on with its backlog."""
         entry = self.entries[name]
         entry.is_frozen = False
+        # The daemon, too, hands a late tick to the core before the packets that waited.
+        self._handle(entry, Tick())
         backlog, entry.backlog = entry.backlog, []
         for event in backlog:
             self._handle(entry, event)
@@ -207,6 +213,8 @@
 
     def _carry_out(self, entry: FleetEntry, effect: Effect) -> None:
         me = entry.member.name
+        if isinstance(effect, SendToPeer | SendControl | SendRecords):
+            self.observe(me, effect)
         match effect:
             case SendToTarget(tunnel, payload):
                 if (me, tunnel.host) not in self.cuts:
