Let the back-off to the platform grow with the site

Cause: with at most 8 s for each daemon, the four entry VMs of a site may all miss a recovered platform for several seconds. Change: the longest back-off is 0.25 s for each entry VM of the site, from 1 s to 60 s; one success is enough, since peers pass the configuration on.

--- a/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
@@ -157,6 +157,7 @@
             case MembersKey():
                 match parse_members(published.content, key.key):
                     case MembersList(entries=entries):
+                        self._turns.set_site_size(len(entries))
                         return MembersPublished(tuple(entry.member() for entry in entries))
                     case InvalidMembers(faults=faults):
                         for fault in faults:
--- a/packages/entry/tests/entry/test_platform.py
+++ b/packages/entry/tests/entry/test_platform.py
@@ -132,3 +132,18 @@
         self.assertFalse(waiting.done())
         turns.note_success("base")
         await waiting
+
+    async def test_back_off_grows_with_the_site(self) -> None:
+        """Guards against a large site that overloads a platform that comes back."""
+        pauses: list[float] = []
+
+        async def note(pause_s: float) -> None:
+            pauses.append(pause_s)
+
+        for count, limit_s in ((1, 1.0), (40, 10.0), (4000, 60.0)):
+            turns = RetryTurns(Random(1), note)
+            turns.set_site_size(count)
+            for _ in range(200):
+                await turns.wait("base")
+            self.assertLess(max(pauses), limit_s)
+            self.assertGreater(max(pauses), limit_s * 0.9)
