Hand over removed targets that may have open flows

Change: a transfer of records carries the sender's former targets, at most 500; the receiver takes those whose host serves nothing else now. Result: test_flows_of_a_removed_target_outlive_every_entry_vm fails without the transfer and passes with it.

--- a/packages/core/src/fuchsiaspread_core/effects.py
+++ b/packages/core/src/fuchsiaspread_core/effects.py
@@ -6,7 +6,7 @@
 from .flow_table import FlowRecord
 from .identifiers import Endpoint, EntryName, FlowKey
 from .notices import Notice
-from .relay import Relay
+from .relay import FormerTarget, Relay
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +63,7 @@
     peer: EntryName
     records: tuple[FlowRecord, ...]
     is_last: bool
+    former_targets: tuple[FormerTarget, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/fuchsiaspread_core/entry.py
+++ b/packages/core/src/fuchsiaspread_core/entry.py
@@ -222,6 +222,8 @@
 
     def _take_records(self, now_ms: int, event: RecordsReceived) -> list[Effect]:
         effects: list[Effect] = []
+        for former in event.former_targets:
+            self._state.learn_former_target(former)
         for record in event.records:
             # Records held here are newer than those of a transfer.
             if self._state.table.row(record.flow) < 0:
--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -5,17 +5,19 @@
 
 from .address_history import AddressHistory
 from .admission import ShardAdmission
-from .configuration import RequestKind
+from .configuration import RequestKind, Target, TargetState
 from .effects import Effect, Notify, SendToTarget
 from .expiry import RecordExpiry
 from .flow_table import COUNTED_PHASES, FlowRecord, FlowTable
 from .identifiers import Endpoint, EntryName, FlowKey, TargetName, ZoneName
 from .notices import DropReason, FlowEnd, FlowEnded, FlowOpened, PacketDropped
-from .relay import ShardKey
+from .relay import FormerTarget, ShardKey
 from .routing import ManagerRanks, RouteTable, ServiceIndex, TargetRoute
 
 # Earlier tables are asked for records; by then a flow's records have reached later managers.
 RETAINED_TABLES = 6
+# Bounds a transfer; the latest ones are the likeliest to have open flows.
+MAX_FORMER_TARGETS = 500
 
 
 @dataclass(slots=True)
@@ -106,6 +108,27 @@
             return drop(DropReason.UNKNOWN_TARGET)
         return [SendToTarget(tunnel, payload)]
 
+    def former_targets(self) -> tuple[FormerTarget, ...]:
+        """Return the targets that left the configuration, for entry VMs that never had them."""
+        routes = self.targets.items()
+        former = [route for name, route in routes if name not in self.routes.index.targets]
+        return tuple(
+            FormerTarget(route.target.name, route.shard, route.target.tunnel)
+            for route in former[-MAX_FORMER_TARGETS:]
+        )
+
+    def learn_former_target(self, former: FormerTarget) -> None:
+        """Take a target that another entry VM still knows, unless its host serves anew."""
+        if former.name in self.targets or former.tunnel.host in self.target_by_host:
+            return
+        state = TargetState.DRAINING
+        zone = former.shard.zone
+        target = Target(former.name, former.tunnel, zone, 0, state, slots=0, connections=0)
+        route = TargetRoute(target, former.shard)
+        self.targets[former.name] = route
+        self.tunnels[former.name] = former.tunnel
+        self.target_by_host[former.tunnel.host] = route
+
     def learn_targets(self, index: ServiceIndex) -> None:
         """Take the targets of a new configuration; hosts that moved to another service change."""
         for host, route in index.target_by_host.items():
--- a/packages/core/src/fuchsiaspread_core/events.py
+++ b/packages/core/src/fuchsiaspread_core/events.py
@@ -10,7 +10,7 @@
 from .identifiers import EntryName, FlowKey, TargetName
 from .members import Member
 from .parts import Part
-from .relay import Relay
+from .relay import FormerTarget, Relay
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +132,7 @@
     sender: EntryName
     records: tuple[FlowRecord, ...]
     is_last: bool
+    former_targets: tuple[FormerTarget, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/fuchsiaspread_core/handover.py
+++ b/packages/core/src/fuchsiaspread_core/handover.py
@@ -36,9 +36,11 @@
         state = self._state
         gained: list[ShardKey] = []
         sends: dict[EntryName, set[ShardKey]] = {}
-        for shard in state.routes.index.shards:
+        former_shards = {route.shard for route in state.targets.values()}
+        for shard in dict.fromkeys((*state.routes.index.shards, *former_shards)):
             before, after = former.ranks(shard), state.routes.ranks(shard)
-            if after[:1] == (state.me,) and shard not in state.pools:
+            is_served = shard in state.routes.index.shards
+            if after[:1] == (state.me,) and shard not in state.pools and is_served:
                 gained.append(shard)
                 if before and before[0] != state.me and before[0] in alive:
                     self._warm_until[shard] = (before[0], now_ms + WARM_UP_LIMIT_MS)
@@ -105,7 +107,8 @@
             for start in range(0, len(chosen) or 1, RECORDS_PER_MESSAGE):
                 chunk = tuple(chosen[start : start + RECORDS_PER_MESSAGE])
                 is_last = start + RECORDS_PER_MESSAGE >= len(chosen)
-                effects.append(SendRecords(peer, chunk, is_last))
+                former = self._state.former_targets() if start == 0 else ()
+                effects.append(SendRecords(peer, chunk, is_last, former))
             if chosen:
                 effects.append(Notify(RecordsHandedOver(peer, len(chosen))))
         return effects
--- a/packages/core/src/fuchsiaspread_core/relay.py
+++ b/packages/core/src/fuchsiaspread_core/relay.py
@@ -4,7 +4,7 @@
 
 from .configuration import Revision
 from .flow_table import FlowRecord
-from .identifiers import EntryName, ServiceName, TargetName, ZoneName
+from .identifiers import Endpoint, EntryName, ServiceName, TargetName, ZoneName
 
 # Receiver to home manager, two rounds of asking former managers, and the way back.
 MAX_RELAY_HOPS = 8
@@ -18,6 +18,15 @@
     zone: ZoneName
 
 
+@dataclass(frozen=True, slots=True)
+class FormerTarget:
+    """Name a target that is no longer in the configuration but may have open flows."""
+
+    name: TargetName
+    shard: ShardKey
+    tunnel: Endpoint
+
+
 @dataclass(frozen=True, slots=True)
 class RelayOpen:
     """Hand an open to the manager of a shard; `tried` lists the zones that had no capacity."""
--- a/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
@@ -109,6 +109,7 @@
         encode_records(
             send.records[start : start + RECORDS_PER_CALL],
             is_last=send.is_last and start == starts[-1],
+            former_targets=send.former_targets if start == 0 else (),
         )
         for start in starts
     ]
--- a/packages/entry/src/fuchsiaspread_entry/peer_codec.py
+++ b/packages/entry/src/fuchsiaspread_entry/peer_codec.py
@@ -8,6 +8,7 @@
 
 from fuchsiaspread_core.configuration import Revision
 from fuchsiaspread_core.control import ControlMessage, Probe, ProbeAnswer, ProbeRequest
+from fuchsiaspread_core.events import RecordsReceived
 from fuchsiaspread_core.flow_table import FlowRecord, Phase
 from fuchsiaspread_core.identifiers import (
     FLOW_KEY_LENGTH_BYTES,
@@ -22,6 +23,7 @@
 from fuchsiaspread_core.parts import Part, PartName
 from fuchsiaspread_core.relay import (
     MAX_RELAY_HOPS,
+    FormerTarget,
     Relay,
     RelayAsk,
     RelayCopy,
@@ -113,19 +115,25 @@
         return PeerFault.MALFORMED
 
 
-def encode_records(records: Iterable[FlowRecord], is_last: bool) -> peer_pb2.TransferRecordsRequest:
+def encode_records(
+    records: Iterable[FlowRecord], is_last: bool, former_targets: Iterable[FormerTarget] = ()
+) -> peer_pb2.TransferRecordsRequest:
     """Return the request that hands over flow records."""
     return peer_pb2.TransferRecordsRequest(
-        records=[_record_message(record) for record in records], is_last=is_last
+        records=[_record_message(record) for record in records],
+        is_last=is_last,
+        former_targets=[_former_target_message(former) for former in former_targets],
     )
 
 
 def decode_records(
-    request: peer_pb2.TransferRecordsRequest,
-) -> tuple[FlowRecord, ...] | PeerFault:
-    """Return the flow records of a hand-over."""
+    sender: EntryName, request: peer_pb2.TransferRecordsRequest
+) -> RecordsReceived | PeerFault:
+    """Return the event of a hand-over."""
     try:
-        return tuple([_record(item) for item in request.records])
+        records = tuple([_record(item) for item in request.records])
+        former = tuple([_former_target(item) for item in request.former_targets])
+        return RecordsReceived(sender, records, request.is_last, former)
     except _Malformed:
         return PeerFault.MALFORMED
 
@@ -273,6 +281,20 @@
     )
 
 
+def _former_target_message(former: FormerTarget) -> peer_pb2.FormerTarget:
+    return peer_pb2.FormerTarget(
+        name=former.name,
+        service=former.shard.service,
+        zone=former.shard.zone,
+        tunnel=_endpoint_message(former.tunnel),
+    )
+
+
+def _former_target(encoded: peer_pb2.FormerTarget) -> FormerTarget:
+    shard = ShardKey(ServiceName(_name(encoded.service)), ZoneName(_name(encoded.zone)))
+    return FormerTarget(TargetName(_name(encoded.name)), shard, _endpoint(encoded.tunnel))
+
+
 def _member_message(member: Member) -> peer_pb2.Member:
     return peer_pb2.Member(
         name=member.name,
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -5,7 +5,7 @@
 from typing import assert_never
 
 from fuchsiaspread_core.effects import FetchParts, SendRecords
-from fuchsiaspread_core.events import Event, RecordsReceived
+from fuchsiaspread_core.events import Event
 from fuchsiaspread_core.identifiers import Endpoint, EntryName
 from fuchsiaspread_core.members import Member
 from google.protobuf.message import Message
@@ -119,10 +119,9 @@
     ) -> None:
         """Take flow records over from another entry VM."""
         proof, request = await self._receive(stream, "TransferRecords")
-        records = decode_records(request)
-        if isinstance(records, PeerFault):
-            raise self._refuse(records, Status.INVALID_ARGUMENT)
-        received = RecordsReceived(proof.sender, records, request.is_last)
+        received = decode_records(proof.sender, request)
+        if isinstance(received, PeerFault):
+            raise self._refuse(received, Status.INVALID_ARGUMENT)
         if not self._core.put(EventsReceived([received])):
             raise GRPCError(Status.UNAVAILABLE, "busy")
         await self._reply(stream, "TransferRecords", proof, TransferRecordsAnswer())
--- a/packages/entry/tests/entry/test_peer_messages.py
+++ b/packages/entry/tests/entry/test_peer_messages.py
@@ -2,9 +2,17 @@
 
 import unittest
 
+from fuchsiaspread_core.events import RecordsReceived
 from fuchsiaspread_core.flow_table import FlowRecord
-from fuchsiaspread_core.identifiers import EntryName
+from fuchsiaspread_core.identifiers import (
+    Endpoint,
+    EntryName,
+    ServiceName,
+    TargetName,
+    ZoneName,
+)
 from fuchsiaspread_core.parts import Part, PartName
+from fuchsiaspread_core.relay import FormerTarget, ShardKey
 from fuchsiaspread_entry.internal.authentication import REPLAY_WINDOW, Keyring, ReplayWindows
 from fuchsiaspread_entry.internal.proof import CallProof, check_call, digest_of, sign_call
 from fuchsiaspread_entry.messages import peer_pb2
@@ -43,7 +51,10 @@
         self, records: list[FlowRecord], in_force: tuple[Part, ...], newest: tuple[Part, ...]
     ) -> None:
         """Guards against a hand-over or a configuration that changes on its way."""
-        self.assertEqual(decode_records(encode_records(records, True)), tuple(records))
+        shard = ShardKey(ServiceName("order-desk"), ZoneName("occidente-a"))
+        former = (FormerTarget(TargetName("desk-1"), shard, Endpoint("127.0.2.1", 6080)),)
+        decoded = decode_records(PEER, encode_records(records, True, former))
+        self.assertEqual(decoded, RecordsReceived(PEER, tuple(records), True, former))
         self.assertEqual(decode_parts(encode_parts(in_force, newest)), (in_force, newest))
 
     @settings(derandomize=True, max_examples=300)
@@ -64,7 +75,7 @@
         phase = peer_pb2.FlowRecord(flow=bytes(12), target="desk-1", phase=99)
         for bad in (record, phase):
             request = peer_pb2.TransferRecordsRequest(records=[bad])
-            self.assertIs(decode_records(request), PeerFault.MALFORMED)
+            self.assertIs(decode_records(PEER, request), PeerFault.MALFORMED)
         answer = peer_pb2.FetchPartsAnswer(newest=[peer_pb2.Part(name="other")])
         self.assertIs(decode_parts(answer), PeerFault.MALFORMED)
 
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -239,8 +239,8 @@
                 self._to_peer(me, peer, to_event(payload, "", relay))
             case SendControl(peer, message):
                 self._to_peer(me, peer, ControlReceived(me, message))
-            case SendRecords(peer, records, is_last):
-                self._to_peer(me, peer, RecordsReceived(me, records, is_last))
+            case SendRecords(peer, records, is_last, former):
+                self._to_peer(me, peer, RecordsReceived(me, records, is_last, former))
             case FetchParts(peer):
                 self._fetch(me, peer)
             case Notify(notice):
--- a/packages/standins/tests/fleet/test_planned_changes.py
+++ b/packages/standins/tests/fleet/test_planned_changes.py
@@ -39,6 +39,20 @@
         self.fleet.run(10_000)
         self.assert_holds()
 
+    def test_flows_of_a_removed_target_outlive_every_entry_vm(self) -> None:
+        """Guards against new entry VMs that never had the target in their configuration."""
+        self.site.desk_targets = self.site.desk_targets[1:]
+        self.site.publish(self.fleet)
+        self.fleet.run(1000)
+        for number in (1, 2, 3, 4):
+            self.fleet.add_entry(entry_member(number + 4))
+            self.fleet.run(2500)
+            self.fleet.stop_entry(entry_member(number).name)
+            self.fleet.run(4000)
+        self.assertGreater(len(self.fleet.targets["127.0.2.1"].connections), 0)
+        self.fleet.run(30_000)
+        self.assert_holds()
+
     def test_added_target_and_changed_weights_move_no_flow(self) -> None:
         """Guards against home shards that move away from the records of open flows."""
         added = replace(
