Keep stray failures from restricting a target

Cause: one reset made a target suspect until a probe succeeded. A host that loses a stream now and then would let reconnecting screens in one by one, and three resets hours apart ejected it. The retry budget held ten retries, fewer than the opens that a dying target holds at 2,000 new flows a second.

Change: a target is suspect from the second failure in a row; failures more than 30 s apart are no row; the budget starts with ten retries and grows to 500 with traffic; weight 0 gives a target nothing new; the streams accepted lately are kept in an ordered dictionary, whose front is removed in constant time.

--- a/packages/core/src/fuchsiaspread_core/outcomes.py
+++ b/packages/core/src/fuchsiaspread_core/outcomes.py
@@ -1,5 +1,6 @@
 """What the manager learns from how opens, requests and streams go on and end."""
 
+from collections import OrderedDict
 from math import ceil
 
 from .admitted_flows import AdmittedFlows, Opening, Running
@@ -28,7 +29,7 @@
         self._times = times
         self._history = history
         # Streams accepted within the last YOUNG_STREAM_MS, oldest first.
-        self._young: dict[FlowKey, int] = {}
+        self._young: OrderedDict[FlowKey, int] = OrderedDict()
 
     def note_accept(self, now_ms: int, flow: FlowKey, opening: Opening) -> None:
         """Take a target's answer to an open."""
@@ -87,6 +88,8 @@
     def tick(self, now_ms: int) -> list[Decision]:
         """Look at the requests that run and at the streams that lasted."""
         self._end_youth(now_ms)
+        for load in self._view:
+            load.health.forget_old_failures(now_ms)
         decisions: list[Decision] = []
         for flow, running in self._flows.running.items():
             decisions += self._watch(now_ms, flow, running)
--- a/packages/core/src/fuchsiaspread_core/retry_budget.py
+++ b/packages/core/src/fuchsiaspread_core/retry_budget.py
@@ -3,14 +3,16 @@
 # One retry for five first attempts: when a whole shard fails, retries add at most 20% load.
 TOKENS_PER_ATTEMPT = 0.2
 # A shard that has seen little traffic can still retry the opens that one dead target held.
-TOKEN_LIMIT = 10.0
+FIRST_TOKENS = 10.0
+# A target that dies silently holds a quarter of a second's opens; 500 of them can be retried.
+TOKEN_LIMIT = 500.0
 
 
 class RetryBudget:
     """Earn a fraction of a retry with each first attempt and spend one with each retry."""
 
     def __init__(self) -> None:
-        self._tokens = TOKEN_LIMIT
+        self._tokens = FIRST_TOKENS
 
     def earn(self) -> None:
         """Count a first attempt."""
--- a/packages/core/src/fuchsiaspread_core/target_health.py
+++ b/packages/core/src/fuchsiaspread_core/target_health.py
@@ -6,6 +6,11 @@
 EJECTION_FAILURES = 3
 FIRST_EJECTION_MS = 1_000
 MAX_EJECTION_MS = 60_000
+# From the second failure in a row on a target gets single opens only. After the first it does
+# not: when each target had lost one stream, reconnecting callers would be let in one by one.
+SUSPECT_FAILURES = 2
+# Failures further apart are no row: a host that loses a stream an hour works.
+FAILURE_MEMORY_MS = 30_000
 # An ejection that long ago no longer lengthens the next one.
 EJECTION_MEMORY_MS = 120_000
 # Pause between attempts on a failing target that may not be ejected.
@@ -14,7 +19,7 @@
 
 
 class TargetHealth:
-    """Count a target's failures in a row; after one it gets single opens until one succeeds.
+    """Count a target's failures in a row; after two it gets single opens until one succeeds.
 
     Failures of an open (silence, reset) end with the next accept. Failures after an accept
     (reset, hang) end only with a complete answer, since the kernel of a host whose server
@@ -26,6 +31,7 @@
         self.run_failures = 0
         self.ejected_until_ms = 0
         self.probe: FlowKey | None = None
+        self._failed_ms = 0
         self._ejection_count = 0
         self._paused_until_ms = 0
         self._is_returning = False
@@ -38,7 +44,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether the target gets only one open at a time."""
-        return self.failures > 0
+        return self.failures >= SUSPECT_FAILURES or self._is_returning
 
     def is_ejected(self, now_ms: int) -> bool:
         """Return whether the target gets nothing new for now."""
@@ -95,15 +101,23 @@
         """Take the target back into use at once, as a suspect."""
         self.ejected_until_ms = min(self.ejected_until_ms, now_ms)
 
+    def forget_old_failures(self, now_ms: int) -> None:
+        """Start a new row of failures when the last one is long ago."""
+        if not self._is_returning and now_ms - self._failed_ms > FAILURE_MEMORY_MS:
+            self.open_failures = self.run_failures = 0
+            self.probe = None
+
     def _pause(self, now_ms: int) -> bool:
+        self._failed_ms = now_ms
         if self.failures > 1:
             pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS << min(self.failures - 2, 16))
             self._paused_until_ms = now_ms + pause_ms
         return self.failures >= EJECTION_FAILURES
 
     def _recover(self) -> bool:
-        if self.is_suspect:
-            return False
-        self.probe = None
-        is_back, self._is_returning = self._is_returning, False
+        is_back = self._is_returning and self.failures == 0
+        if is_back:
+            self._is_returning = False
+        if not self.is_suspect:
+            self.probe = None
         return is_back
--- a/packages/core/src/fuchsiaspread_core/target_load.py
+++ b/packages/core/src/fuchsiaspread_core/target_load.py
@@ -60,7 +60,8 @@
     @property
     def is_active(self) -> bool:
         """Return whether the configuration lets the target take new work."""
-        return self.is_configured and self.target.state is TargetState.ACTIVE
+        is_wanted = self.target.state is TargetState.ACTIVE and self.target.weight > 0
+        return self.is_configured and is_wanted
 
     @property
     def is_unused(self) -> bool:
@@ -96,7 +97,7 @@
 
     def relative_load(self, now_ms: int, is_request: bool) -> float:
         """Return the load with one more open, relative to weight and slow-start share."""
-        weight = max(self.target.weight, 1) * self._share(now_ms)
+        weight = self.target.weight * self._share(now_ms)
         if now_ms < self._shedding_until_ms:
             weight *= SHEDDING_SHARE
         return ((self.busy_slots if is_request else self.connections) + 1) / weight
--- a/packages/core/tests/core/admission_case.py
+++ b/packages/core/tests/core/admission_case.py
@@ -19,6 +19,7 @@
 )
 from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName, ZoneName, flow_key
 from fuchsiaspread_core.notices import FlowEnd
+from fuchsiaspread_core.target_load import TargetCondition
 
 REQUEST = RequestKind(deadline_ms=2000, repeatable=False)
 STREAM = StreamKind(open_deadline_ms=2000)
@@ -79,6 +80,10 @@
         """Return the busy slots of each target."""
         return {summary.name: summary.busy_slots for summary in admission.summaries(now_ms)}
 
+    def conditions(self, admission: ShardAdmission, now_ms: int) -> dict[str, TargetCondition]:
+        """Return the condition of each target."""
+        return {s.name: s.condition for s in admission.summaries(now_ms)}
+
     def only(self, decisions: list[Decision]) -> Admit | Refuse:
         """Return the one decision that is no notice."""
         rest = [decision for decision in decisions if not isinstance(decision, Inform)]
