--- a/packages/core/src/fuchsiaspread_core/flow_table.py
+++ b/packages/core/src/fuchsiaspread_core/flow_table.py
@@ -110,6 +110,11 @@
         """Return the phase of a row."""
         return Phase(self.phases[row])
 
+    def phase_of(self, flow: FlowKey) -> Phase | None:
+        """Return the phase of a flow, or None when there is no record."""
+        row = self._rows.get(flow, -1)
+        return None if row < 0 else Phase(self.phases[row])
+
     def record(self, flow: FlowKey) -> FlowRecord | None:
         """Return the record of a flow, or None."""
         row = self._rows.get(flow, -1)
@@ -119,6 +124,10 @@
         """Iterate over all records."""
         return (self._record_at(flow, row) for flow, row in self._rows.items())
 
+    def flows(self) -> list[FlowKey]:
+        """Return the keys of all records."""
+        return list(self._rows)
+
     def put(self, record: FlowRecord, now_ms: int) -> int:
         """Store a record, replacing an earlier one of the same key; return its row."""
         row = self._rows.get(record.flow, -1)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/handover.py
@@ -0,0 +1,150 @@
+"""Hand-over of shards between entry VMs when managers change."""
+
+from .admission import ShardAdmission
+from .effects import Effect, Notify, SendRecords, SendToPeer
+from .entry_state import EntryState, PendingOpen
+from .events import CallerOpen
+from .flow_table import COUNTED_PHASES, FlowRecord, Phase
+from .identifiers import EntryName, FlowKey
+from .notices import RecordsHandedOver
+from .relay import RelayOpen, ShardKey
+from .routing import RouteTable
+
+# A new manager waits this long for the former manager's records before it decides opens: its
+# counts would otherwise give out slots that are in use.
+WARM_UP_LIMIT_MS = 1000
+RECORDS_PER_MESSAGE = 500
+MAX_HELD_OPENS = 2000
+# An open without a SYN-ACK is not sent: the new manager has no packet to repeat it with, and
+# the caller's retransmission opens the flow there.
+SENT_PHASES = frozenset({Phase.ACCEPTED, Phase.ESTABLISHED, Phase.CANCELLED, Phase.CLOSING})
+
+
+class Handover:
+    """Send records to new managers and backups, and start pools from received records."""
+
+    def __init__(self, state: EntryState, seed: int) -> None:
+        self._state = state
+        self._seed = seed
+        self._warm_until: dict[ShardKey, tuple[EntryName, int]] = {}
+        self._held: list[CallerOpen] = []
+
+    def change_routes(
+        self, now_ms: int, former: RouteTable, alive: frozenset[EntryName]
+    ) -> list[Effect]:
+        """Act on a new route table; `alive` are the entry VMs that still answer."""
+        state = self._state
+        gained: list[ShardKey] = []
+        sends: dict[EntryName, set[ShardKey]] = {}
+        for shard in state.routes.index.shards:
+            before, after = former.ranks(shard), state.routes.ranks(shard)
+            if after[:1] == (state.me,) and shard not in state.pools:
+                gained.append(shard)
+                if before and before[0] != state.me and before[0] in alive:
+                    self._warm_until[shard] = (before[0], now_ms + WARM_UP_LIMIT_MS)
+            elif after[:1] == (state.me,) and before == (state.me,) and len(after) > 1:
+                # A new entry VM knows itself first; the present backup managed the shard before.
+                self._warm_until[shard] = (after[1], now_ms + WARM_UP_LIMIT_MS)
+            if self._is_sender(before, after, alive):
+                for peer in self._receivers(before, after):
+                    sends.setdefault(peer, set()).add(shard)
+        effects = self._send(sends) + self._close_pools()
+        self._open_pools(now_ms, gained)
+        return effects
+
+    def is_warming(self, now_ms: int, shard: ShardKey) -> bool:
+        """Return whether opens of a shard wait for the former manager's records."""
+        warming = self._warm_until.get(shard)
+        if warming is None:
+            return False
+        if now_ms < warming[1]:
+            return True
+        del self._warm_until[shard]
+        return False
+
+    def hold(self, event: CallerOpen) -> None:
+        """Keep an open until its shard's records have arrived."""
+        if len(self._held) < MAX_HELD_OPENS:
+            self._held.append(event)
+
+    def take_held(self, now_ms: int) -> list[CallerOpen]:
+        """Return the held opens when no shard is warming any more."""
+        if not self._held or any(self.is_warming(now_ms, s) for s in tuple(self._warm_until)):
+            return []
+        held, self._held = self._held, []
+        return held
+
+    def finish(self, sender: EntryName) -> None:
+        """Note that a former manager has sent all its records."""
+        for shard in [s for s, (peer, _) in self._warm_until.items() if peer == sender]:
+            del self._warm_until[shard]
+
+    def _is_sender(
+        self, before: tuple[EntryName, ...], after: tuple[EntryName, ...], alive: frozenset
+    ) -> bool:
+        if not before or before[0] in alive:
+            return before[:1] == (self._state.me,)
+        return after[:1] == (self._state.me,)
+
+    def _receivers(
+        self, before: tuple[EntryName, ...], after: tuple[EntryName, ...]
+    ) -> list[EntryName]:
+        new_manager = [name for name in after[:1] if before[:1] != (name,)]
+        new_backup = [name for name in after[1:] if name not in before]
+        receivers = dict.fromkeys(new_manager + new_backup)
+        return [name for name in receivers if name != self._state.me]
+
+    def _send(self, sends: dict[EntryName, set[ShardKey]]) -> list[Effect]:
+        if not sends:
+            return []
+        records = [record for record in self._state.table.records() if self._is_sent(record)]
+        effects: list[Effect] = []
+        for peer, shards in sends.items():
+            chosen = [r for r in records if self._state.targets[r.target].shard in shards]
+            # An empty transfer still tells the new manager that nothing is to come.
+            for start in range(0, len(chosen) or 1, RECORDS_PER_MESSAGE):
+                chunk = tuple(chosen[start : start + RECORDS_PER_MESSAGE])
+                is_last = start + RECORDS_PER_MESSAGE >= len(chosen)
+                effects.append(SendRecords(peer, chunk, is_last))
+            if chosen:
+                effects.append(Notify(RecordsHandedOver(peer, len(chosen))))
+        return effects
+
+    def _is_sent(self, record: FlowRecord) -> bool:
+        return record.phase in SENT_PHASES and record.target in self._state.targets
+
+    def _close_pools(self) -> list[Effect]:
+        lost = {shard for shard in self._state.pools if not self._state.is_manager(shard)}
+        for shard in lost:
+            del self._state.pools[shard]
+        effects: list[Effect] = []
+        for flow, pending in list(self._state.pending.items()):
+            if pending.shard in lost:
+                effects += self._pass_queued(flow, pending)
+        return effects
+
+    def _pass_queued(self, flow: FlowKey, pending: PendingOpen) -> list[Effect]:
+        """Pass a queued open to the new manager of its shard; a target has not seen it."""
+        row = self._state.table.row(flow)
+        manager = self._state.routes.manager(pending.shard)
+        if row < 0 or self._state.table.phases[row] != Phase.QUEUED or manager is None:
+            return []
+        del self._state.pending[flow]
+        self._state.table.remove(flow)
+        relay = RelayOpen(pending.shard, pending.tried, self._state.routes.revision, 1)
+        return [SendToPeer(manager, relay, pending.payload)]
+
+    def _open_pools(self, now_ms: int, gained: list[ShardKey]) -> None:
+        for shard in gained:
+            pool = self._state.pools[shard] = ShardAdmission(self._seed)
+            pool.configure(now_ms, self._state.routes.index.shards[shard])
+        if gained:
+            for record in self._state.table.records():
+                if record.phase in COUNTED_PHASES:
+                    self._count(now_ms, record, gained)
+
+    def _count(self, now_ms: int, record: FlowRecord, gained: list[ShardKey]) -> None:
+        route = self._state.targets.get(record.target)
+        address = self._state.routes.address(record.flow)
+        if route is not None and address is not None and route.shard in gained:
+            self._state.pools[route.shard].adopt(now_ms, record, address.kind)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/reply_path.py
@@ -0,0 +1,208 @@
+"""The path of a target's replies."""
+
+from .effects import Effect, Notify, SendToCaller, SendToPeer
+from .entry_state import EntryState, drop
+from .events import TargetAccept, TargetClose, TargetData, TargetEvent, TargetReset
+from .flow_table import COUNTED_PHASES, ENDED_PHASES, FlowRecord, Phase, Signal
+from .identifiers import EntryName, TargetName
+from .notices import DropReason, FlowEnd, FlowRecovered
+from .open_path import UNKNOWN_TOKEN, OpenPath
+from .recovery import Recovery
+from .relay import MAX_RELAY_HOPS, RelayCopy, RelayReply
+from .routing import TargetRoute
+
+TOKEN_RANGE = 2**32
+# A target sends less than this to a caller that has not yet acknowledged its SYN-ACK.
+UNCONFIRMED_WINDOW = 2**20
+# Phases in which any holder of a copy may pass data on without the manager.
+ANSWERING_PHASES = frozenset({Phase.ACCEPTED, Phase.ESTABLISHED, Phase.CLOSING})
+
+
+class ReplyPath:
+    """Check replies against the records, keep the records and count ends."""
+
+    def __init__(self, state: EntryState, opens: OpenPath, recovery: Recovery) -> None:
+        self._state = state
+        self._opens = opens
+        self._recovery = recovery
+
+    def receive(self, now_ms: int, event: TargetEvent) -> list[Effect]:
+        """Take a reply from a target or from another entry VM."""
+        match event.relay:
+            case RelayCopy() as relay:
+                return self._copy(now_ms, event, relay)
+            case RelayReply(target, hops):
+                route = self._state.targets.get(target)
+            case _:
+                route = self._state.target_by_host.get(event.source_host)
+                hops = 0
+        if route is None:
+            return drop(DropReason.UNKNOWN_TARGET)
+        if isinstance(event, TargetReset) and self._recovery.is_active(event.flow):
+            return self._recovery.withhold_reset(event.flow, route.target.name, event.payload)
+        if isinstance(event, TargetData) and self._is_known(now_ms, event, route.target.name):
+            return [SendToCaller(event.payload)]
+        manager = self._state.routes.manager(route.shard)
+        # Two views that each name the other entry VM end at the hop limit.
+        if manager not in (None, self._state.me) and hops < MAX_RELAY_HOPS:
+            return [SendToPeer(manager, RelayReply(route.target.name, hops + 1), event.payload)]
+        return self._manage(now_ms, event, route, hops)
+
+    def _is_known(self, now_ms: int, event: TargetData, target: TargetName) -> bool:
+        table = self._state.table
+        row = table.row(event.flow)
+        if row < 0 or table.phases[row] not in ANSWERING_PHASES:
+            return False
+        table.seen_s[row] = now_ms // 1000
+        return table.target_name(row) == target
+
+    def _manage(
+        self, now_ms: int, event: TargetEvent, route: TargetRoute, hops: int
+    ) -> list[Effect]:
+        record = self._state.table.record(event.flow)
+        if record is None or record.phase is Phase.SPILLED:
+            return self._adopt(now_ms, event, route, hops)
+        if record.target != route.target.name:
+            return self._contradict(now_ms, event, record, route, hops)
+        match event:
+            case TargetAccept():
+                return self._accept(now_ms, event, record, route)
+            case TargetClose():
+                return self._end(now_ms, event, record, Signal.TARGET_CLOSE, FlowEnd.ANSWERED)
+            case TargetReset() if record.phase is Phase.OPENING:
+                return self._opens.fail(now_ms, record.flow, record.target)
+            case TargetReset() if self._is_stray_reset(event, record):
+                return drop(DropReason.LATE_ANSWER)
+            case TargetReset():
+                end = FlowEnd.RESET_BY_TARGET
+                return self._end(now_ms, event, record, Signal.TARGET_RESET, end)
+            case TargetData():
+                return self._data(event, record)
+
+    def _contradict(
+        self, now_ms: int, event: TargetEvent, record: FlowRecord, route: TargetRoute, hops: int
+    ) -> list[Effect]:
+        """Act on a reply of another target than the record's."""
+        if isinstance(event, TargetReset) or record.phase is not Phase.ACCEPTED:
+            return drop(DropReason.LATE_ANSWER)
+        if self._recovery.is_active(event.flow) and not isinstance(event, TargetAccept):
+            # The caller's packet did not name the record's target, and this target knew it.
+            return self._adopt(now_ms, event, route, hops)
+        # Two targets accepted the same open; the home manager knows to which one it sent it.
+        home = self._state.routes.home_manager(event.flow)
+        if home in (None, self._state.me) or hops >= MAX_RELAY_HOPS:
+            return drop(DropReason.LATE_ANSWER)
+        return [SendToPeer(home, RelayReply(route.target.name, MAX_RELAY_HOPS), event.payload)]
+
+    def _is_stray_reset(self, event: TargetReset, record: FlowRecord) -> bool:
+        """Return whether a reset answers a packet that was bound to another target.
+
+        Such a reset repeats the position that the packet acknowledged, which is near the other
+        target's token; a reset of the caller's own connection is near this target's.
+        """
+        ahead = (event.sequence - record.target_token) % TOKEN_RANGE
+        return record.phase is Phase.ACCEPTED and ahead >= UNCONFIRMED_WINDOW
+
+    def _data(self, event: TargetData, record: FlowRecord) -> list[Effect]:
+        if record.phase in (Phase.OPENING, Phase.QUEUED, Phase.REFUSED):
+            return drop(DropReason.LATE_ANSWER)
+        return [SendToCaller(event.payload)]
+
+    def _accept(
+        self, now_ms: int, event: TargetAccept, record: FlowRecord, route: TargetRoute
+    ) -> list[Effect]:
+        if (event.acknowledges - record.caller_token) % TOKEN_RANGE != 1:
+            return drop(DropReason.LATE_ANSWER)
+        if record.phase in (Phase.ACCEPTED, Phase.ESTABLISHED):
+            return [SendToCaller(event.payload)]
+        if record.phase is not Phase.OPENING:
+            return drop(DropReason.LATE_ANSWER)
+        row = self._state.table.row(record.flow)
+        self._state.table.signal(row, Signal.ACCEPT)
+        self._state.table.target_tokens[row] = event.target_token
+        effects = self._pass_copies(event, route)
+        return effects + self._opens.accept(now_ms, record.flow, record.target)
+
+    def _end(
+        self,
+        now_ms: int,
+        event: TargetEvent,
+        record: FlowRecord,
+        signal: Signal,
+        end: FlowEnd,
+    ) -> list[Effect]:
+        phase = self._state.table.signal(self._state.table.row(record.flow), signal)
+        if phase is record.phase:
+            return [SendToCaller(event.payload)]
+        route = self._state.targets[record.target]
+        effects = self._pass_copies(event, route)
+        effects += self._state.note_end(now_ms, record.flow, route, end)
+        pool = self._state.pools.get(route.shard)
+        if pool is not None and record.phase in COUNTED_PHASES:
+            effects += self._opens.apply(now_ms, pool.release(now_ms, record.flow, end))
+        return effects
+
+    def _adopt(
+        self, now_ms: int, event: TargetEvent, route: TargetRoute, hops: int
+    ) -> list[Effect]:
+        """Learn the target of a flow without a record from the target's own reply."""
+        address = self._state.routes.address(event.flow)
+        if address is None or address.service != route.shard.service:
+            return drop(DropReason.UNKNOWN_FLOW)
+        if self._state.is_stale:
+            # The packet may have waited through a pause and the flow may be over by now; a
+            # record of it would occupy a slot for good. The target retransmits.
+            return drop(DropReason.STALE_VIEW)
+        target = route.target.name
+        match event:
+            case TargetReset():
+                return self._reset_to_home(event, target, hops)
+            case TargetAccept(flow, token, acknowledges):
+                caller_token = (acknowledges - 1) % TOKEN_RANGE
+                record = FlowRecord(flow, target, Phase.ACCEPTED, caller_token, token)
+            case _:
+                record = FlowRecord(event.flow, target, Phase.ESTABLISHED, UNKNOWN_TOKEN, 0)
+        found = self._opens.adopt(now_ms, record)
+        if self._recovery.confirm(event.flow):
+            found.append(Notify(FlowRecovered(event.flow, target)))
+        if isinstance(event, TargetClose):
+            ended = self._end(now_ms, event, record, Signal.TARGET_CLOSE, FlowEnd.ANSWERED)
+            return found + ended
+        return found + self._pass_copies(event, route)
+
+    def _reset_to_home(self, event: TargetReset, target: TargetName, hops: int) -> list[Effect]:
+        home = self._state.routes.home_manager(event.flow)
+        if home in (None, self._state.me) or hops >= MAX_RELAY_HOPS:
+            # The caller's next packet starts the recovery, which ends in a reset if need be.
+            return drop(DropReason.UNKNOWN_FLOW)
+        return [SendToPeer(home, RelayReply(target, MAX_RELAY_HOPS), event.payload)]
+
+    def _pass_copies(self, event: TargetEvent, route: TargetRoute) -> list[Effect]:
+        """Send a reply to the caller past the entry VMs that keep copies of the record."""
+        record = self._state.table.record(event.flow)
+        assert record is not None
+        stops = self._copy_stops(record, route)
+        if not stops:
+            return [SendToCaller(event.payload)]
+        return [SendToPeer(stops[0], RelayCopy(record, stops[1:], 1), event.payload)]
+
+    def _copy_stops(self, record: FlowRecord, route: TargetRoute) -> tuple[EntryName, ...]:
+        names = list(self._state.routes.ranks(route.shard))
+        home = self._state.routes.home_manager(record.flow)
+        if home is not None:
+            names.append(home)
+        return tuple(name for name in dict.fromkeys(names) if name != self._state.me)
+
+    def _copy(self, now_ms: int, event: TargetEvent, relay: RelayCopy) -> list[Effect]:
+        record = relay.record
+        if self._opens.is_contradicted(record):
+            return drop(DropReason.LATE_ANSWER)
+        effects = self._opens.adopt(now_ms, record)
+        if self._recovery.confirm(record.flow):
+            effects.append(Notify(FlowRecovered(record.flow, record.target)))
+        if record.phase in ENDED_PHASES:
+            self._state.expiry.note_end(now_ms, record.flow)
+        if relay.next_stops:
+            onward = RelayCopy(record, relay.next_stops[1:], relay.hops + 1)
+            return [*effects, SendToPeer(relay.next_stops[0], onward, event.payload)]
+        return [*effects, SendToCaller(event.payload)]
