Remember the targets that failed an open passed on to other shards

Cause: an open that its shard's targets failed was declined and forgotten. When no other shard had room it came back as a new open and could be given to the target that had failed it.

Change: such an open is remembered like one that waits, until its time is over; when it comes back, the targets that failed it stay excluded.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -230,8 +230,11 @@
         load = self._view.choose(now_ms, request.flow, pending.lane, pending.tried)
         if load is not None:
             return self._admit(now_ms, pending, load)
-        if request.may_spill or not self._view.in_use(now_ms, pending.tried):
-            return self._pass_on(request, RefusalReason.RETRIES_USED)
+        if request.may_spill:
+            self._respill.leave(pending)
+            return Decline(request.flow)
+        if not self._view.in_use(now_ms, pending.tried):
+            return Refuse(request.flow, RefusalReason.RETRIES_USED)
         self._queue.put(pending, is_first=True)
         return Enqueue(request.flow)
 
--- a/packages/core/src/fuchsiaspread_core/respill.py
+++ b/packages/core/src/fuchsiaspread_core/respill.py
@@ -39,9 +39,13 @@
             self._next_ms = now_ms + RESPILL_PAUSE_MS
         for pending in leaving:
             self._queue.remove(pending.request.flow)
-            self._away[pending.request.flow] = pending
+            self.leave(pending)
         return [pending.request.flow for pending in leaving]
 
+    def leave(self, pending: PendingOpen) -> None:
+        """Remember an open that is passed on, with the targets that failed it."""
+        self._away[pending.request.flow] = pending
+
     def returned(self, request: OpenRequest) -> PendingOpen | None:
         """Return the open that comes back, or None for a new one."""
         pending = self._away.pop(request.flow, None)
--- a/packages/core/tests/core/test_admission_faults.py
+++ b/packages/core/tests/core/test_admission_faults.py
@@ -37,6 +37,10 @@
         self.admitted(admission, 0, flow(0), may_spill=True)
         self.assertEqual(self.only(admission.tick(260)), Decline(flow(0)))
         self.assertFalse(admission.is_managed(flow(0)))
+        # It comes back when no other shard has room; the target that failed it is not tried.
+        self.assertEqual(self.offer(admission, 262, flow(0)), Enqueue(flow(0)))
+        refused = Refuse(flow(0), RefusalReason.RETRIES_USED)
+        self.assertEqual(self.only(admission.tick(280)), refused)
 
     def test_dead_target_with_the_only_free_slot_gets_no_retries(self) -> None:
         """Guards against a black hole: the dead target is idle, so every open goes to it."""
