--- a/packages/core/tests/core/test_admission.py
+++ b/packages/core/tests/core/test_admission.py
@@ -238,6 +238,18 @@
         admission.tick(10_003)
         self.assertEqual(self.busy(admission), {"desk-1": 0})
 
+    def test_overdue_request_is_freed_like_a_cancelled_one(self) -> None:
+        """Guards against a slot that stays busy because another manager saw the request end."""
+        admission = self.shard(1, slots=1)
+        self.admitted(admission, 0, flow(0))
+        admission.accept(1, flow(0))
+        for now_ms in (1980, 2000):
+            admission.tick(now_ms)
+            self.assertEqual(self.busy(admission), {"desk-1": 1})
+        for now_ms in (2010, 2020):
+            admission.report_load(now_ms, TargetName("desk-1"), 0, False)
+        self.assertEqual(self.busy(admission), {"desk-1": 0})
+
     def test_reused_key_does_not_free_the_slot_of_the_former_flow(self) -> None:
         """Guards against a caller that cancels and opens again from the same port."""
         admission = self.cancelled()
