Drive the entry core through a front end of JSON lines in the tests

Cause: nothing showed that decisions are independent of the daemon's message encoding.

A test opens, answers and closes a flow over two cores through it, and one keeps the adapter under 150 lines. The core is unchanged.

--- /dev/null
+++ b/packages/core/tests/core/test_json_front_end.py
@@ -0,0 +1,151 @@
+"""Guard the separation of decisions and encoding by a front end of JSON lines."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any
+
+from fuchsiaspread_core.configuration import (
+    Objective,
+    RequestKind,
+    Service,
+    ServiceAddress,
+    Target,
+    TargetState,
+)
+from fuchsiaspread_core.events import (
+    CallerData,
+    CallerOpen,
+    MembersPublished,
+    PartPublished,
+    TargetAccept,
+    TargetClose,
+    Tick,
+)
+from fuchsiaspread_core.identifiers import Endpoint, flow_key
+from fuchsiaspread_core.members import Member
+from fuchsiaspread_core.parts import Part, PartName
+
+from . import json_front_end
+from .json_front_end import JsonFrontEnd, encode, run
+
+JOB_CARDS = Endpoint("10.20.0.1", 7002)
+TUNNEL = Endpoint("127.0.2.1", 6080)
+FLOW = flow_key(Endpoint("10.30.0.1", 20_000), JOB_CARDS)
+CALLER_TOKEN, TARGET_TOKEN = 1000, 5000
+MEMBERS = tuple(
+    Member(f"entry-{n}", f"zone-{n}", Endpoint(f"127.0.1.{n}", 1), Endpoint(f"127.0.1.{n}", 2))
+    for n in (1, 2)
+)
+SERVICES = (
+    Service(
+        "order-desk",
+        (ServiceAddress(JOB_CARDS, RequestKind(deadline_ms=2000, repeatable=False)),),
+        (Target("desk-1", TUNNEL, "zone-1", 1, TargetState.ACTIVE, 1, 10),),
+        Objective(0.999, 0.99, 3600),
+    ),
+)
+
+
+def line(event: object, now_ms: int = 0) -> str:
+    """Return an event as a line."""
+    return json.dumps({"now_ms": now_ms, "event": encode(event)})
+
+
+def relayed(effect: dict[str, Any]) -> dict[str, Any]:
+    """Return what a relay adds to the event of its packet."""
+    return {"payload": effect["payload"], "relay": effect["relay"]}
+
+
+class TwoCores:
+    """Pass lines between two front ends; the payload of a packet is its own event as JSON."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0
+        self.out: list[dict[str, Any]] = []
+        self.front_ends = {
+            member.name: JsonFrontEnd(json.dumps({"member": encode(member), "seed": n}))
+            for n, member in enumerate(MEMBERS)
+        }
+        content = json.dumps(encode(SERVICES)).encode()
+        for name in self.front_ends:
+            self.give(name, encode(PartPublished(Part(PartName.BASE, 1, content))))
+            self.give(name, encode(PartPublished(Part(PartName.OVERLAY, 1, b""))))
+            self.give(name, encode(MembersPublished(MEMBERS)))
+        # A new entry VM waits up to 1 s for the records of others before it decides opens.
+        for _ in range(20):
+            self.now_ms += 100
+            for name in self.front_ends:
+                self.give(name, encode(Tick()))
+
+    def give(self, name: str, event: dict[str, Any]) -> None:
+        """Hand an event to a core, and what it sends to its peer on to the peer."""
+        text = json.dumps({"now_ms": self.now_ms, "event": event})
+        for effect in map(json.loads, self.front_ends[name].take(text)):
+            self.out.append({"from": name} | effect)
+            match effect["type"]:
+                case "SendToPeer":
+                    packet = json.loads(bytes.fromhex(effect["payload"]))
+                    self.give(effect["peer"], packet | relayed(effect))
+                case "SendControl":
+                    control = {"type": "ControlReceived", "sender": name}
+                    self.give(effect["peer"], control | {"message": effect["message"]})
+                case "SendRecords":
+                    self.give(effect["peer"], effect | {"type": "RecordsReceived", "sender": name})
+
+    def packet(self, name: str, event: Any) -> list[tuple[str, str]]:
+        """Let a packet reach a core; return what leaves the two cores, without notices."""
+        self.out.clear()
+        data = encode(event)
+        data["payload"] = json.dumps(data).encode().hex()
+        self.give(name, data)
+        return [(one["from"], one["type"]) for one in self.out if one["type"] != "Notify"]
+
+    def notices(self) -> list[str]:
+        """Return the names of the notices of the last packet."""
+        return [one["notice"]["type"] for one in self.out if one["type"] == "Notify"]
+
+
+class JsonFrontEndTest(unittest.TestCase):
+    def test_flow_opens_answers_and_closes_over_two_cores(self) -> None:
+        """Guards against decisions that depend on the daemon's own encoding of packets."""
+        cores = TwoCores()
+        opened = cores.packet("entry-2", CallerOpen(FLOW, CALLER_TOKEN, b""))
+        self.assertEqual(opened, [("entry-2", "SendToPeer"), ("entry-1", "SendToTarget")])
+        accept = TargetAccept(FLOW, TARGET_TOKEN, CALLER_TOKEN + 1, TUNNEL.host, b"")
+        accepted = cores.packet("entry-2", accept)
+        self.assertEqual(accepted[0], ("entry-2", "SendToPeer"))
+        self.assertEqual(accepted[-1][1], "SendToCaller")
+        self.assertIn("FlowOpened", cores.notices())
+        asked = cores.packet("entry-1", CallerData(FLOW, TARGET_TOKEN + 1, b""))
+        self.assertEqual(asked, [("entry-1", "SendToTarget")])
+        closed = cores.packet("entry-1", TargetClose(FLOW, TUNNEL.host, b""))
+        self.assertEqual(closed[-1][1], "SendToCaller")
+        self.assertIn("FlowEnded", cores.notices())
+
+    def test_slot_of_a_closed_flow_serves_the_next_one(self) -> None:
+        """Guards against an adapter that loses the end of a flow."""
+        cores = TwoCores()
+        other = flow_key(Endpoint("10.30.0.2", 20_000), JOB_CARDS)
+        cores.packet("entry-1", CallerOpen(FLOW, CALLER_TOKEN, b""))
+        self.assertEqual(cores.packet("entry-1", CallerOpen(other, 1, b"")), [])
+        accept = TargetAccept(FLOW, TARGET_TOKEN, CALLER_TOKEN + 1, TUNNEL.host, b"")
+        cores.packet("entry-1", accept)
+        closed = cores.packet("entry-1", TargetClose(FLOW, TUNNEL.host, b""))
+        self.assertIn(("entry-1", "SendToTarget"), closed)
+
+    def test_line_that_is_no_event_is_reported(self) -> None:
+        """Guards against a front end that ends on the first malformed line."""
+        first = json.dumps({"member": encode(MEMBERS[0]), "seed": 1})
+        bad = ["no JSON", '{"now_ms": 1, "event": {"type": "Unheard"}}', '{"now_ms": "x"}']
+        printed = [json.loads(text) for text in run([first, *bad, line(Tick())])]
+        self.assertEqual([one["type"] for one in printed[:3]], ["InvalidLine"] * 3)
+
+    def test_adapter_stays_under_150_lines(self) -> None:
+        """Guards against decisions that move into the front end."""
+        source = Path(json_front_end.__file__).read_text(encoding="utf-8")
+        self.assertLess(len(source.splitlines()), 150)
+
+
+if __name__ == "__main__":
+    unittest.main()
