--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -26,7 +26,9 @@
     caller_token: int
     shard: ShardKey
     tried: tuple[ZoneName, ...]
+    # The first packet of the open, and the latest offer to the shard.
     received_ms: int
+    offered_ms: int
     # Hops so far; they go on counting when the open spills, so that no chain of spills loops.
     hops: int
 
@@ -52,6 +54,8 @@
     target_by_host: dict[str, TargetRoute] = field(default_factory=dict)
     # Live and leaving entry VMs; both can be asked for records.
     reachable: frozenset[EntryName] = frozenset()
+    # Whether the process was paused and has not heard from others since.
+    is_stale: bool = False
     expiry: RecordExpiry = field(init=False)
 
     def __post_init__(self) -> None:
--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 
 from fuchsiaspread_configuration import Settings, compile_parts
 from fuchsiaspread_core.events import Event, StopRequested
@@ -13,7 +13,7 @@
 from .internal.clock import boot_number, now_ms
 from .internal.log import Level, Log, level_of
 from .internal.mailboxes import Mailboxes
-from .internal.task_messages import EventsReceived, KeysChanged
+from .internal.task_messages import EventsReceived, KeysChanged, TransfersAwaited
 from .tasks.admin_task import AdminTask
 from .tasks.core_task import CoreTask, Identity
 from .tasks.fabric_task import FabricTask
@@ -27,6 +27,7 @@
 
 # Long enough for two entry VMs never to share one by chance.
 SEED_RANGE = 2**63
+RELOADED_SETTINGS = ("log", "keys")
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,7 @@
 
     def __init__(self, settings: Settings, log: Log) -> None:
         self._log = log
+        self._settings = settings
         self._mailboxes = mailboxes = Mailboxes()
         self._stop_grace_s = settings.stop_grace_ms / MS_PER_SECOND
         self._stopped = asyncio.Event()
@@ -69,7 +71,7 @@
             settings.member(), peer=self._peer.address, control=self._peer_service.address
         )
         identity = Identity(member, settings.site, settings.seeds, settings.fabric.gateway, seed)
-        self._core = CoreTask(identity, compile_parts, mailboxes, log, now_ms, self._stopped.set)
+        self._core = CoreTask(identity, compile_parts, mailboxes, log, now_ms, self._end_stop)
 
     @property
     def addresses(self) -> Addresses:
@@ -123,12 +125,25 @@
 
     def reload(self, settings: Settings) -> None:
         """Take the log level and the keys of new settings; the rest needs a restart."""
+        names = [field.name for field in fields(settings) if field.name not in RELOADED_SETTINGS]
+        changed_names = [
+            name for name in names if getattr(settings, name) != getattr(self._settings, name)
+        ]
+        if changed_names:
+            needed = ",".join(changed_names)
+            self._log.write(Level.WARNING, "settings_need_restart", settings=needed)
         self._log.level = level_of(settings.log)
         changed = KeysChanged(Keyring(settings.keys))
         self._mailboxes.peer.put(changed)
         self._mailboxes.peer_service.put(changed)
         self._log.write(Level.INFO, "settings_reloaded", log=settings.log, keys=len(settings.keys))
 
+    def _end_stop(self) -> None:
+        # The next managers need the records whose transfer is still running.
+        transferred = asyncio.get_running_loop().create_future()
+        transferred.add_done_callback(lambda _: self._stopped.set())
+        self._mailboxes.peer_service.put(TransfersAwaited(transferred))
+
     def _end_grace(self) -> None:
         self._log.write(Level.WARNING, "stop_grace_ended", grace_s=self._stop_grace_s)
         self._stopped.set()
--- a/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/task_messages.py
@@ -6,7 +6,7 @@
 
 from fuchsiaspread_core.effects import FetchParts, SendControl, SendRecords, SendToPeer
 from fuchsiaspread_core.events import Event, PacketEvent
-from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, FlowKey, TargetName
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import Part
 
@@ -77,6 +77,10 @@
     reply: Future[dict[str, object] | None]
 
 
+class QuestionFailed(Exception):
+    """Tell the asker that the core task could not answer; the log has the cause."""
+
+
 CoreQuestion = PartsAsked | StatusAsked | ReadinessAsked | BurnAsked | FlowAsked | TargetAsked
 CoreMessage = PacketsReceived | EventsReceived | TickDue | CoreQuestion
 
@@ -119,8 +123,25 @@
     sends: Sequence[SendToPeer | SendControl]
 
 
+@dataclass(frozen=True, slots=True)
+class BootHeard:
+    """Tell the boot number that another entry VM has proven."""
+
+    peer: EntryName
+    boot: int
+
+
+@dataclass(frozen=True, slots=True)
+class TransfersAwaited:
+    """Ask the peer service task to tell when no transfer of records is running."""
+
+    reply: Future[None]
+
+
 PeerTaskMessage = PeerSends | DirectoryChanged | KeysChanged
-PeerServiceMessage = FetchParts | SendRecords | DirectoryChanged | KeysChanged
+PeerServiceMessage = (
+    FetchParts | SendRecords | TransfersAwaited | BootHeard | DirectoryChanged | KeysChanged
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +151,11 @@
     endpoints: tuple[tuple[TargetName, Endpoint], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RefreshAsked:
+    """Ask the platform task to read all keys now, without waiting for a change."""
+
+
 @dataclass(frozen=True, slots=True)
 class CountsReported:
     """Hand counts since the last report to the admin task."""
--- a/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/admin_task.py
@@ -8,6 +8,8 @@
 
 from fuchsiaspread_core.identifiers import Endpoint, TargetName
 from tornado.httpserver import HTTPServer
+from tornado.httputil import responses
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from ..internal.flow_text import parse_flow
@@ -31,8 +33,12 @@
 IDLE_TIMEOUT_S = 60
 BODY_TIMEOUT_S = 5
 BACKLOG = 100
+MAX_CONNECTIONS = 64
 MAX_TARGET_NAME_LENGTH = 128
+FAILED_STATUS = 500
 FLOW_HINT = "write it as CALLER:PORT-SERVICE:PORT, for example 10.1.0.5:40000-10.20.0.1:7001"
+PATHS_HINT = "ask for /health, /ready, /status, /explain, /burn or /metrics with GET"
+LOG_HINT = "look for event_failed in the log of this entry VM"
 QUESTION_HINT = "add ?flow=CALLER:PORT-SERVICE:PORT or ?target=NAME"
 
 Body = dict[str, object]
@@ -66,7 +72,7 @@
 
     async def run(self) -> None:
         """Answer until cancelled."""
-        server = HTTPServer(
+        server = _BoundedServer(
             Application(
                 [
                     ("/health", _HealthHandler),
@@ -95,7 +101,10 @@
             self._metrics.close()
 
     async def ask(self, question: CoreQuestion) -> Body | bool | None:
-        """Ask the core task; None means that it did not answer in time."""
+        """Ask the core task; None means that it did not answer in time.
+
+        Errors: QuestionFailed when the core task could not answer.
+        """
         self._core.put(question)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -138,10 +147,24 @@
                 assert_never(message)
 
 
-class _TaskHandler(RequestHandler):
-    def initialize(self, task: AdminTask) -> None:
-        self.task = task
+class _BoundedServer(HTTPServer):
+    """Close new connections above a limit, so that they cannot use up memory and descriptors."""
+
+    connection_count = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        if self.connection_count >= MAX_CONNECTIONS:
+            stream.close()
+            return
+        self.connection_count += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        self.connection_count -= 1
+        super().on_close(server_conn)
+
 
+class _JsonHandler(RequestHandler):
     def answer(self, body: Body | bool | None, status: int = 200) -> None:
         """Write a JSON body, or 503 when the core task did not answer."""
         self.set_header("Content-Type", "application/json")
@@ -150,11 +173,26 @@
         self.set_status(status)
         self.finish(json.dumps(body))
 
+    def write_error(self, status_code: int, **_: object) -> None:
+        """Answer errors of the HTTP layer in the form of the other answers."""
+        if status_code == FAILED_STATUS:
+            self.answer(_problem("the daemon could not make this report", LOG_HINT), status_code)
+            return
+        reason = responses.get(status_code, "unknown error")
+        self.answer(_problem(f"HTTP {status_code}: {reason}", PATHS_HINT), status_code)
 
-class _HealthHandler(RequestHandler):
+    def log_exception(self, *_: object) -> None:
+        """Leave the cause to the line that the core task has written."""
+
+
+class _TaskHandler(_JsonHandler):
+    def initialize(self, task: AdminTask) -> None:
+        self.task = task
+
+
+class _HealthHandler(_JsonHandler):
     def get(self) -> None:
-        self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps({"healthy": True}))
+        self.answer({"healthy": True})
 
 
 class _ReadyHandler(_TaskHandler):
@@ -196,11 +234,9 @@
             self.answer(_problem("explain: neither flow nor target given", QUESTION_HINT), 400)
 
 
-class _UnknownPathHandler(RequestHandler):
+class _UnknownPathHandler(_JsonHandler):
     def prepare(self) -> None:
-        self.set_status(404)
-        paths = "/health, /ready, /status, /explain, /burn, /metrics"
-        self.finish(json.dumps(_problem(f"no such path: {self.request.path}", f"ask for {paths}")))
+        self.answer(_problem(f"no such path: {self.request.path}", PATHS_HINT), 404)
 
 
 def _problem(problem: str, next_step: str) -> Body:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -22,7 +22,7 @@
 from fuchsiaspread_core.events import ControlReceived, Event, MembersPublished, PacketEvent, Tick
 from fuchsiaspread_core.identifiers import Endpoint
 from fuchsiaspread_core.members import Member
-from fuchsiaspread_core.notices import ConfigurationApplied, Notice
+from fuchsiaspread_core.notices import ConfigurationApplied, MemberChanged, Notice, ViewBecameStale
 from fuchsiaspread_core.objectives import ObjectiveCounters
 from fuchsiaspread_core.parts import Compile
 
@@ -45,7 +45,9 @@
     PacketsReceived,
     PartsAsked,
     PeerSends,
+    QuestionFailed,
     ReadinessAsked,
+    RefreshAsked,
     ServiceHostsChanged,
     StatusAsked,
     TargetAsked,
@@ -95,6 +97,7 @@
         self._reporter = Reporter(mailboxes.admin)
         self._timer: asyncio.TimerHandle | None = None
         self._last_tick_ms = now_ms()
+        self._have_routes_changed = False
         # Effects of the messages taken together, handed on as one batch for each task.
         self._packets: list[tuple[bytes, Endpoint]] = []
         self._sends: list[SendToPeer | SendControl] = []
@@ -109,6 +112,9 @@
                 for message in await self._mailbox.take():
                     self._handle(message)
                 self._flush()
+                if self._have_routes_changed:
+                    self._have_routes_changed = False
+                    self._tell_load_endpoints(self._now_ms())
         finally:
             self._reporter.stop()
             if self._timer is not None:
@@ -155,8 +161,8 @@
 
     def _take_event(self, now_ms: int, event: Event) -> None:
         match event:
-            case ControlReceived(message=control):
-                if self._directory.hear(control.updates):
+            case ControlReceived(sender=sender, message=control):
+                if self._directory.hear(sender, control.updates):
                     self._tell_directory()
             case MembersPublished(members=members):
                 if self._directory.publish(members):
@@ -201,10 +207,16 @@
         self._reporter.counts[count_key(notice)] += 1
         log_notice(self._log, notice)
         self._objectives.record(now_ms, notice)
-        if isinstance(notice, ConfigurationApplied):
-            self._tell_configuration()
+        match notice:
+            case ConfigurationApplied():
+                self._tell_service_hosts()
+                self._have_routes_changed = True
+            case MemberChanged():
+                self._have_routes_changed = True
+            case ViewBecameStale():
+                self._mailboxes.platform.put(RefreshAsked())
 
-    def _tell_configuration(self) -> None:
+    def _tell_service_hosts(self) -> None:
         configuration = self._core.configuration
         if configuration is None:
             return
@@ -215,11 +227,19 @@
             for address in service.addresses
         )
         self._mailboxes.fabric.put(ServiceHostsChanged(hosts))
+
+    def _tell_load_endpoints(self, now_ms: int) -> None:
+        """Tell the load task whom to ask: only a target's manager uses its hints."""
+        configuration, me = self._core.configuration, self._identity.member.name
+        if configuration is None:
+            return
+        statuses = self._core.status(now_ms).targets
+        managed = frozenset(status.name for status in statuses if status.manager == me)
         endpoints = tuple(
             (target.name, target.load_endpoint)
             for service in configuration.services
             for target in service.targets
-            if target.load_endpoint is not None
+            if target.load_endpoint is not None and target.name in managed
         )
         self._mailboxes.load.put(LoadEndpointsChanged(endpoints))
 
@@ -228,22 +248,29 @@
         self._mailboxes.peer.put(changed)
         self._mailboxes.peer_service.put(changed)
 
-    def _note_failure(self, event: Event, error: Exception) -> None:
+    def _note_failure(self, cause: Event | CoreQuestion, error: Exception) -> None:
         self._reporter.counts[FAILED_EVENT] += 1
-        fields = {"kind": type(event).__name__, "cause": repr(error)}
+        fields = {"kind": type(cause).__name__, "cause": repr(error)}
         self._log.write(Level.ERROR, "event_failed", **fields)
 
     def _answer_once(self, now_ms: int, question: CoreQuestion) -> None:
         # The asker has given up when its time limit has passed.
-        if not question.reply.done():
+        if question.reply.done():
+            return
+        try:
             self._answer(now_ms, question)
+        except Exception as error:
+            # A fault in a report must not end the forwarding of packets.
+            self._note_failure(question, error)
+            question.reply.set_exception(QuestionFailed())
 
     def _answer(self, now_ms: int, question: CoreQuestion) -> None:
         match question:
             case PartsAsked(reply=reply):
                 reply.set_result((self._core.in_force_parts, self._core.newest_parts))
             case StatusAsked(reply=reply):
-                reply.set_result(status_body(self._identity.site, self._core.status(now_ms)))
+                status, configuration = self._core.status(now_ms), self._core.configuration
+                reply.set_result(status_body(self._identity.site, status, configuration))
             case ReadinessAsked(reply=reply):
                 reply.set_result(self._core.is_ready)
             case BurnAsked(reply=reply):
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -9,6 +9,7 @@
 from fuchsiaspread_core.identifiers import Endpoint, EntryName
 from fuchsiaspread_core.members import Member
 from google.protobuf.message import Message
+from grpclib.config import Configuration
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
@@ -21,11 +22,14 @@
 from ..internal.proof import CallProof, check_call, digest_of, sign_call
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
+    BootHeard,
     DirectoryChanged,
     EventsReceived,
     KeysChanged,
     PartsAsked,
     PeerServiceMessage,
+    QuestionFailed,
+    TransfersAwaited,
 )
 from ..messages.peer_grpc import PeerServiceBase
 from ..messages.peer_pb2 import (
@@ -40,6 +44,11 @@
 # More calls at a time than this come from a fault or an attack; the rest are turned away.
 MAX_CALLS = 64
 BACKLOG = 100
+# What a caller may send before its proof is checked; a transfer of records is smaller.
+MAX_UNREAD_BYTES = 256 * 1024
+LIMITS = Configuration(
+    http2_connection_window_size=MAX_UNREAD_BYTES, http2_stream_window_size=MAX_UNREAD_BYTES
+)
 
 
 class PeerServiceTask(PeerServiceBase):
@@ -56,6 +65,7 @@
     ) -> None:
         self._mailbox = mailboxes.peer_service
         self._me = me
+        self._boot = boot
         self._core = mailboxes.core
         self._log = log
         self._keyring = keyring
@@ -65,6 +75,7 @@
         self._fetching: set[EntryName] = set()
         # Records that wait for a running transfer to the same peer, so that they keep their order.
         self._transfers: dict[EntryName, list[SendRecords]] = {}
+        self._awaiting: list[asyncio.Future[None]] = []
         self._call_count = 0
         self._reporter = Reporter(mailboxes.admin)
         self._socket = socket.create_server(listen, backlog=BACKLOG)
@@ -77,7 +88,7 @@
     async def run(self) -> None:
         """Serve and call until cancelled."""
         self._socket.setblocking(False)
-        server = Server([self])
+        server = Server([self], config=LIMITS)
         await server.start(sock=self._socket)
         self._reporter.start()
         try:
@@ -99,7 +110,7 @@
         try:
             async with asyncio.timeout(CORE_ANSWER_TIMEOUT_S):
                 in_force, newest = await question.reply
-        except TimeoutError:
+        except (TimeoutError, QuestionFailed):
             raise GRPCError(Status.UNAVAILABLE, "busy") from None
         await self._reply(stream, "FetchParts", proof, encode_parts(in_force, newest))
 
@@ -125,6 +136,8 @@
             raise self._refuse(PeerFault.WRONG_RECEIVER, Status.UNAUTHENTICATED)
         if proof.sender not in self._members:
             raise self._refuse(PeerFault.UNKNOWN_SENDER, Status.UNAUTHENTICATED)
+        if proof.receiver_boot not in (0, self._boot):
+            raise self._refuse(PeerFault.FORMER_BOOT, Status.UNAUTHENTICATED)
         if not self._windows.accept(proof.sender, proof.boot, proof.sequence):
             raise self._refuse(PeerFault.REPLAYED, Status.UNAUTHENTICATED)
         if self._call_count >= MAX_CALLS:
@@ -164,8 +177,15 @@
                 elif peer in self._members:
                     self._transfers[peer] = [message]
                     calls.create_task(self._transfer(self._members[peer]))
+            case TransfersAwaited(reply=reply):
+                self._awaiting.append(reply)
+                self._tell_awaiting()
+            case BootHeard(peer=peer, boot=boot):
+                self._caller.boots[peer] = boot
             case DirectoryChanged(members=members):
                 self._members = {member.name: member for member in members}
+                boots = self._caller.boots
+                self._caller.boots = {name: boots[name] for name in boots if name in self._members}
                 self._windows.retain(frozenset(self._members))
             case KeysChanged(keyring=keyring):
                 self._keyring = self._caller.keyring = keyring
@@ -191,6 +211,15 @@
                 cause = outcome.cause
                 self._log.write(Level.WARNING, "transfer_failed", peer=peer.name, cause=cause)
         del self._transfers[peer.name]
+        self._tell_awaiting()
+
+    def _tell_awaiting(self) -> None:
+        if self._transfers:
+            return
+        for reply in self._awaiting:
+            if not reply.done():
+                reply.set_result(None)
+        self._awaiting.clear()
 
 
 def _path(method: str) -> str:
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -28,6 +28,7 @@
 from fuchsiaspread_core.events import (
     ControlReceived,
     Event,
+    LoadReported,
     MembersPublished,
     PartPublished,
     PartsReceived,
@@ -45,6 +46,8 @@
 
 TICK_MS = 20
 LINK_DELAY_MS = 1
+# How often entry VMs read the targets' load endpoints.
+LOAD_INTERVAL_MS = 500
 # How long the fabric goes on to send packets to an entry VM that is leaving.
 FABRIC_LAG_MS = 700
 
@@ -77,6 +80,10 @@
         self.outcomes: Counter[FlowOutcome] = Counter()
         self.cuts: set[tuple[str, str]] = set()
         self.sprayed: list[EntryName] = []
+        # Called with each message between entry VMs, for measurements.
+        self.observe: Callable[[EntryName, SendToPeer | SendControl | SendRecords], None] = (
+            lambda sender, effect: None
+        )
         self._by_flow: dict[bytes, FleetCaller] = {}
         self._parts: dict[PartName, Part] = {}
         self._compile = compile_parts
@@ -124,7 +131,7 @@
     def kill_entry(self, name: EntryName) -> None:
         """End an entry VM without notice; the fabric notices at once, the platform does not."""
         del self.entries[name]
-        self.sprayed.remove(name)
+        self._leave_fabric(name)
 
     def stop_entry(self, name: EntryName) -> None:
         """Ask an entry VM to stop gracefully; the fabric follows a little later."""
@@ -143,6 +150,8 @@
         """Let a paused entry VM go on with its backlog."""
         entry = self.entries[name]
         entry.is_frozen = False
+        # The daemon, too, hands a late tick to the core before the packets that waited.
+        self._handle(entry, Tick())
         backlog, entry.backlog = entry.backlog, []
         for event in backlog:
             self._handle(entry, event)
@@ -199,14 +208,24 @@
             return
         if not entry.is_frozen:
             self._handle(entry, Tick())
+            if self.now_ms % LOAD_INTERVAL_MS < TICK_MS:
+                self._report_loads(entry)
         self.at(TICK_MS, lambda: self._tick(name, core))
 
+    def _report_loads(self, entry: FleetEntry) -> None:
+        for host, target in self.targets.items():
+            if not target.is_silent and (entry.member.name, host) not in self.cuts:
+                busy = target.busy_slots(self.now_ms)
+                self._handle(entry, LoadReported(target.name, busy, False))
+
     def _handle(self, entry: FleetEntry, event: Event) -> None:
         for effect in entry.core.handle(self.now_ms, event):
             self._carry_out(entry, effect)
 
     def _carry_out(self, entry: FleetEntry, effect: Effect) -> None:
         me = entry.member.name
+        if isinstance(effect, SendToPeer | SendControl | SendRecords):
+            self.observe(me, effect)
         match effect:
             case SendToTarget(tunnel, payload):
                 if (me, tunnel.host) not in self.cuts:
