Measure replies too and decode them with one unpacking

Cause: packet_rate sent callers' packets only, while replies took the longer way through decoding and effects. Change: callers' packets and replies alternate in the measurement; a reply's addresses come out of one struct call, and the packet loop also tests for SendToCaller.

--- a/packages/bench/src/fuchsiaspread_bench/packet_samples.py
+++ b/packages/bench/src/fuchsiaspread_bench/packet_samples.py
@@ -27,10 +27,12 @@
     return _packet(flow, flags, sequence, acknowledges, length_bytes)
 
 
-def target_packet(flow: FlowKey, flags: int, sequence: int, acknowledges: int) -> bytes:
-    """Return a packet without data from the target of a flow."""
+def target_packet(
+    flow: FlowKey, flags: int, sequence: int, acknowledges: int, length_bytes: int
+) -> bytes:
+    """Return a packet from the target of a flow."""
     reverse = flow[4:8] + flow[:4] + flow[10:12] + flow[8:10]
-    return _packet(reverse, flags, sequence, acknowledges, HEADERS_BYTES)
+    return _packet(reverse, flags, sequence, acknowledges, length_bytes)
 
 
 def _packet(ends: bytes, flags: int, sequence: int, acknowledges: int, length_bytes: int) -> bytes:
--- a/packages/bench/src/fuchsiaspread_bench/packet_worker.py
+++ b/packages/bench/src/fuchsiaspread_bench/packet_worker.py
@@ -164,9 +164,11 @@
     def _answer_as_target(self, packet: bytes) -> None:
         flow, flags = packet[12:24], packet[FLAGS_OFFSET]
         if flags == SYN:
-            answer = target_packet(flow, SYN | ACK, TARGET_TOKEN, CALLER_TOKEN + 1)
+            answer = target_packet(flow, SYN | ACK, TARGET_TOKEN, CALLER_TOKEN + 1, HEADERS_BYTES)
         else:
-            answer = target_packet(flow, FIN | ACK, TARGET_TOKEN + 1, CALLER_TOKEN + 1)
+            answer = target_packet(
+                flow, FIN | ACK, TARGET_TOKEN + 1, CALLER_TOKEN + 1, HEADERS_BYTES
+            )
         self._target.sendto(answer, self._entry)
 
     def _answer_as_caller(self, packet: bytes) -> None:
--- a/packages/bench/src/fuchsiaspread_bench/packets.py
+++ b/packages/bench/src/fuchsiaspread_bench/packets.py
@@ -11,7 +11,15 @@
 from fuchsiaspread_core.identifiers import Endpoint
 
 from .figure import NO_BASELINE, NO_VALUE, Figure, print_spread, verdict_over
-from .packet_samples import ACK, CALLER_TOKEN, DATAGRAM_BYTES, TARGET_TOKEN, caller_packet, flow_of
+from .packet_samples import (
+    ACK,
+    CALLER_TOKEN,
+    DATAGRAM_BYTES,
+    TARGET_TOKEN,
+    caller_packet,
+    flow_of,
+    target_packet,
+)
 from .packet_subjects import DrainedRelay, asyncio_relay, daemon
 from .packet_worker import Count, Flood, Job, OpenFlows, work
 
@@ -74,7 +82,7 @@
     for _ in range(repetitions):
         bare = await _packets_per_second(DrainedRelay(sink.first).running(), source, sink)
         plain = await _packets_per_second(asyncio_relay(sink.first), source, sink)
-        subject = daemon(source.first, sink.first, FLOW_COUNT)
+        subject = daemon(sink.first, sink.first, FLOW_COUNT)
         product = await _packets_per_second(subject, source, sink)
         ratios.append(product / bare)
         asyncio_ratios.append(plain / bare)
@@ -86,13 +94,14 @@
 
 
 async def _packets_per_second(subject: Subject, source: Worker, sink: Worker) -> float:
-    flows = map(flow_of, range(FLOW_COUNT))
-    datagrams = tuple(
-        caller_packet(flow, ACK, CALLER_TOKEN + 1, TARGET_TOKEN + 1, DATAGRAM_BYTES)
-        for flow in flows
-    )
+    datagrams: list[bytes] = []
+    for flow in map(flow_of, range(FLOW_COUNT)):
+        # Callers and target send in turn; both sides' packets come from the target's host.
+        tokens = (CALLER_TOKEN + 1, TARGET_TOKEN + 1)
+        datagrams.append(caller_packet(flow, ACK, *tokens, DATAGRAM_BYTES))
+        datagrams.append(target_packet(flow, ACK, *reversed(tokens), DATAGRAM_BYTES))
     async with subject as address:
-        flood = asyncio.create_task(source.do(Flood(address, datagrams, FLOOD_S)))
+        flood = asyncio.create_task(source.do(Flood(address, tuple(datagrams), FLOOD_S)))
         rate = await sink.do(Count(WARM_UP_S, DURATION_S))
         await flood
     return rate
--- a/packages/entry/src/fuchsiaspread_entry/packets.py
+++ b/packages/entry/src/fuchsiaspread_entry/packets.py
@@ -24,6 +24,8 @@
 # Version and header length, total length, fragment, protocol, then the TCP header: sequence
 # number, acknowledgement, offset, flags. Addresses and ports are taken as slices.
 HEADERS = Struct("!BxHxxHxB14xIIBB")
+# The same with addresses and ports, which a reply has in the other order than the flow key.
+HEADERS_WITH_ENDS = Struct("!BxHxxHxBxx4s4s2s2sIIBB")
 HEADERS_LENGTH_BYTES = 40
 IP_HEADER_LENGTH_BYTES = 20
 VERSION_4_WITHOUT_OPTIONS = 0x45
@@ -101,9 +103,20 @@
     """Decode a packet from a target to a caller; the outer sender identifies the target."""
     if len(packet) < HEADERS_LENGTH_BYTES:
         return PacketFault.TRUNCATED
-    version, total, fragment, protocol, sequence, acknowledges, offset, flags = HEADERS.unpack_from(
-        packet
-    )
+    (
+        version,
+        total,
+        fragment,
+        protocol,
+        source,
+        destination,
+        source_port,
+        destination_port,
+        sequence,
+        acknowledges,
+        offset,
+        flags,
+    ) = HEADERS_WITH_ENDS.unpack_from(packet)
     if (
         version != VERSION_4_WITHOUT_OPTIONS
         or total != len(packet)
@@ -113,7 +126,7 @@
         or IP_HEADER_LENGTH_BYTES + (offset >> 4) * 4 > total
     ):
         return _fault_of(packet)
-    flow = FlowKey(packet[16:20] + packet[12:16] + packet[22:24] + packet[20:22])
+    flow = FlowKey(b"".join((destination, source, destination_port, source_port)))
     opening = flags & OPENING_FLAGS_MASK
     if opening == ACK:
         return TargetData(flow, source_host, packet, relay)
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -145,13 +145,17 @@
 
     def _take_packets(self, now_ms: int, packets: Sequence[PacketEvent]) -> None:
         handle, carry_out, ready = self._core.handle, self._carry_out, self._packets
+        gateway = self._identity.gateway
         for packet in packets:
             try:
                 for effect in handle(now_ms, packet):
-                    # Most packets of open flows have this effect alone; testing for it here
-                    # saves a call and the match for each of them.
-                    if effect.__class__ is SendToTarget:
+                    # Most packets of open flows have one of these effects alone; testing for
+                    # them here saves a call and the match for each packet.
+                    kind = effect.__class__
+                    if kind is SendToTarget:
                         ready.append((effect.payload, effect.tunnel))
+                    elif kind is SendToCaller:
+                        ready.append((effect.payload, gateway))
                     else:
                         carry_out(now_ms, effect)
             except Exception as error:
