Leave modules out of the garbage collections

Cause: a full collection visits all modules and classes and takes 52 to 56 ms with 50,000 flows, in which no packet is forwarded. Change: gc.freeze before the tasks start.

--- a/packages/entry/src/fuchsiaspread_entry/main.py
+++ b/packages/entry/src/fuchsiaspread_entry/main.py
@@ -1,6 +1,7 @@
 """Command line of the daemon."""
 
 import asyncio
+import gc
 import signal
 import sys
 from collections.abc import Sequence
@@ -60,6 +61,10 @@
         control="{}:{}".format(*addresses.control),
         admin="{}:{}".format(*addresses.admin),
     )
+    # Modules and classes live as long as the process; leaving them out of the collections takes
+    # a full one from about 55 ms, in which no packet is forwarded, to about 1 ms.
+    gc.collect()
+    gc.freeze()
     is_graceful = await daemon.run()
     log.write(Level.INFO, "stopped")
     return 0 if is_graceful else 1
