--- a/packages/core/tests/core/test_admission.py
+++ b/packages/core/tests/core/test_admission.py
@@ -124,9 +124,9 @@
         for number in range(100, 106):
             self.admitted(admission, now_ms, flow(number))
             admission.accept(now_ms, flow(number))
-        long, short = flow(200, network=9), [flow(300), flow(301)]
-        self.assertEqual(self.offer(admission, now_ms, long), Enqueue(long))
-        for key in short:
+        long, later_long = flow(200, network=9), flow(201, network=9)
+        short = [flow(300), flow(301)]
+        for key in (long, later_long, *short):
             self.assertEqual(self.offer(admission, now_ms, key), Enqueue(key))
         # With no long request running, one gets a slot, so that none starves; then short ones.
         ends = [admission.release(now_ms + 9, flow(n), FlowEnd.ANSWERED) for n in (100, 101, 102)]
@@ -238,9 +238,22 @@
         admission.tick(10_003)
         self.assertEqual(self.busy(admission), {"desk-1": 0})
 
+    def test_overdue_request_is_freed_like_a_cancelled_one(self) -> None:
+        """Guards against a slot that stays busy because another manager saw the request end."""
+        admission = self.shard(1, slots=1)
+        self.admitted(admission, 0, flow(0))
+        admission.accept(1, flow(0))
+        for now_ms in (1980, 2000):
+            admission.tick(now_ms)
+            self.assertEqual(self.busy(admission), {"desk-1": 1})
+        for now_ms in (2010, 2020):
+            admission.report_load(now_ms, TargetName("desk-1"), 0, False)
+        self.assertEqual(self.busy(admission), {"desk-1": 0})
+
     def test_reused_key_does_not_free_the_slot_of_the_former_flow(self) -> None:
         """Guards against a caller that cancels and opens again from the same port."""
         admission = self.cancelled()
+        admission.cancel(4, flow(1))
         again = admission.offer(5, OpenRequest(flow(0), 2, REQUEST, False))
         self.assertEqual(again, Enqueue(flow(0)))
         admission.cancel(6, flow(0))
