--- a/packages/bench/src/fuchsiaspread_bench/capacity.py
+++ b/packages/bench/src/fuchsiaspread_bench/capacity.py
@@ -5,16 +5,24 @@
 """
 
 import random
-import time
-import tracemalloc
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Iterator, Sequence
+from dataclasses import replace
 from statistics import median
 
 from fuchsiaspread_configuration import compile_parts
 from fuchsiaspread_core.configuration import Configuration
+from fuchsiaspread_core.effects import SendToTarget
 from fuchsiaspread_core.entry import EntryCore
-from fuchsiaspread_core.events import MembersPublished, PartPublished, Tick
+from fuchsiaspread_core.events import (
+    CallerData,
+    CallerOpen,
+    MembersPublished,
+    PacketEvent,
+    PartPublished,
+    TargetAccept,
+    TargetClose,
+    Tick,
+)
 from fuchsiaspread_core.flow_table import FlowRecord, FlowTable, Phase
 from fuchsiaspread_core.identifiers import (
     Endpoint,
@@ -23,13 +31,16 @@
     ServiceName,
     TargetName,
     ZoneName,
+    flow_key,
 )
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
 from fuchsiaspread_core.relay import ShardKey
 from fuchsiaspread_core.routing import ManagerRanks, ServiceIndex
+from fuchsiaspread_entry.peer_codec import encode_records
 
 from .figure import Figure
+from .slope import Slope, allocated_bytes, fit, processor_us, slope_line
 
 TARGETS_A_SERVICE = 6
 ZONE_COUNT = 3
@@ -37,30 +48,11 @@
 MEMBER_SIZES = (100, 200, 400)
 FLOW_SIZES = (50_000, 100_000, 200_000)
 POOL_SIZES = (30, 60, 120)
+FLOW_TIME_SIZES = (500, 1000, 2000)
+TRANSFER_SIZES = (1000, 2000, 4000)
+ROUTE_MEMBERS = 50
 TICKS = 200
 RANKED_SHARDS = 50
-NANOSECONDS_PER_MICROSECOND = 1000
-
-
-@dataclass(frozen=True, slots=True)
-class Slope:
-    """Hold the line through measured sizes."""
-
-    name: str
-    unit: str
-    value: float
-    base: float
-    sizes: tuple[int, ...]
-
-
-def fit(name: str, unit: str, points: Sequence[tuple[int, float]]) -> Slope:
-    """Return the least-squares line through points of size and value."""
-    sizes = tuple(size for size, _ in points)
-    mean_size = sum(sizes) / len(sizes)
-    mean_value = sum(value for _, value in points) / len(points)
-    spread = sum((size - mean_size) ** 2 for size in sizes)
-    rise = sum((size - mean_size) * (value - mean_value) for size, value in points) / spread
-    return Slope(name, unit, rise, mean_value - rise * mean_size, sizes)
 
 
 def base_part(target_count: int) -> Part:
@@ -104,29 +96,6 @@
     return configuration
 
 
-def processor_us(action: Callable[[], object], repetitions: int) -> float:
-    """Return the median processor time of an action."""
-    times = []
-    for _ in range(repetitions):
-        started_ns = time.process_time_ns()
-        action()
-        times.append((time.process_time_ns() - started_ns) / NANOSECONDS_PER_MICROSECOND)
-    return median(times)
-
-
-def allocated_bytes(build: Callable[[], object]) -> int:
-    """Return the memory that the result of a function keeps."""
-    tracemalloc.start()
-    try:
-        before, _ = tracemalloc.get_traced_memory()
-        kept = build()
-        after, _ = tracemalloc.get_traced_memory()
-    finally:
-        tracemalloc.stop()
-    assert kept is not None
-    return after - before
-
-
 def started_core(target_count: int, member_count: int) -> EntryCore:
     """Return an entry core that knows a configuration and its members."""
     core = EntryCore(member(0), (), compile_parts, seed=1)
@@ -220,7 +189,7 @@
         core = started_core(size // ZONE_COUNT * TARGETS_A_SERVICE, 1)
         clock = iter(range(20, 10**9, 20))
 
-        def tick(core: EntryCore = core, clock: object = clock) -> None:
+        def tick(core: EntryCore = core, clock: Iterator[int] = clock) -> None:
             for _ in range(TICKS):
                 core.handle(next(clock), Tick())
 
@@ -228,6 +197,85 @@
     return fit("tick_time_a_managed_shard", "us", points)
 
 
+def flow_time_slopes(repetitions: int) -> list[Slope]:
+    """Measure the core's time for the packets of a short flow, and for one data packet."""
+    flow_points, packet_points = [], []
+    for size in FLOW_TIME_SIZES:
+        flow_points.append((size, median(flows_us(size) for _ in range(repetitions))))
+        packet_points.append((size, median(packets_us(size) for _ in range(repetitions))))
+    return [
+        fit("core_time_a_short_flow", "us", flow_points),
+        fit("core_time_a_packet", "us", packet_points),
+    ]
+
+
+def flows_us(count: int) -> float:
+    """Return the time that a core takes to open, answer and close short flows."""
+    core = started_core(TARGETS_A_SERVICE, 1)
+    events = [event for number in range(count) for event in short_flow(number)]
+    return processor_us(lambda: handle_all(core, events), 1)
+
+
+def packets_us(count: int) -> float:
+    """Return the time that a core takes for data packets of one open flow."""
+    core = started_core(TARGETS_A_SERVICE, 1)
+    opened, accepted, _ = short_flow(0)
+    handle_all(core, [opened, accepted])
+    data = [CallerData(opened.flow, accepted.target_token + 1, b"")] * count
+    return processor_us(lambda: handle_all(core, data), 1)
+
+
+def handle_all(core: EntryCore, events: Sequence[PacketEvent]) -> None:
+    """Hand events to a core; each answer goes back to the target that got the open."""
+    for event in events:
+        if isinstance(event, CallerOpen):
+            (sent,) = [e for e in core.handle(0, event) if isinstance(e, SendToTarget)]
+            host = sent.tunnel.host
+        elif isinstance(event, CallerData):
+            core.handle(0, event)
+        else:
+            core.handle(0, replace(event, source_host=host))
+
+
+def short_flow(number: int) -> tuple[CallerOpen, TargetAccept, TargetClose]:
+    """Return the events of a short flow."""
+    caller = Endpoint(f"10.30.{number // 250 % 250}.{number % 250 + 1}", 20_000 + number // 62_500)
+    flow = flow_key(caller, Endpoint("10.20.0.1", 7001))
+    return (
+        CallerOpen(flow, number, b""),
+        TargetAccept(flow, number + 7, number + 1, "", b""),
+        TargetClose(flow, "", b""),
+    )
+
+
+def transfer_size_slope() -> Slope:
+    """Measure the encoded size of a hand-over for each record."""
+    name, token = TargetName("host-17"), 2**31
+    points = []
+    for size in TRANSFER_SIZES:
+        records = [
+            FlowRecord(short_flow(number)[0].flow, name, Phase.ESTABLISHED, token, token)
+            for number in range(size)
+        ]
+        points.append((size, float(len(encode_records(records, False).SerializeToString()))))
+    return fit("transfer_size_a_record", "bytes", points)
+
+
+def route_change_slope(repetitions: int) -> Slope:
+    """Measure the time to put a new list of members in force, for each shard."""
+    points = []
+    for size in POOL_SIZES:
+        core = started_core(size // ZONE_COUNT * TARGETS_A_SERVICE, ROUTE_MEMBERS)
+        counts = iter(range(ROUTE_MEMBERS + 1, 10**6))
+
+        def change(core: EntryCore = core, counts: Iterator[int] = counts) -> None:
+            members = tuple(member(number) for number in range(next(counts)))
+            core.handle(0, MembersPublished(members))
+
+        points.append((size, processor_us(change, repetitions)))
+    return fit("member_change_time_a_shard", "us", points)
+
+
 def slopes(repetitions: int) -> list[Slope]:
     """Measure all slopes."""
     return [
@@ -238,18 +286,12 @@
         member_memory_slope(),
         flow_memory_slope(),
         tick_slope(repetitions),
+        *flow_time_slopes(repetitions),
+        transfer_size_slope(),
+        route_change_slope(repetitions),
     ]
 
 
-def slope_line(slope: Slope) -> str:
-    """Return the printed form of a slope."""
-    sizes = ",".join(str(size) for size in slope.sizes)
-    return (
-        f"slope={slope.name} value={slope.value:.4g} unit={slope.unit} "
-        f"base={slope.base:.4g} sizes={sizes}"
-    )
-
-
 def measure(repetitions: int) -> list[Figure]:
     """Print the slopes; they have no target of their own."""
     for slope in slopes(repetitions):
