Write what libraries log as lines of the daemon

Cause: a fault inside tornado, grpclib or asyncio would print a traceback on standard error. Change: a handler of the standard logging writes such records as library_message lines, at the bounded rate of the log.

--- a/packages/entry/src/fuchsiaspread_entry/internal/log.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/log.py
@@ -1,5 +1,6 @@
 """Log lines: one key=value line for each event on standard output."""
 
+import logging
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -68,6 +69,22 @@
         return bucket
 
 
+class LibraryHandler(logging.Handler):
+    """Write what libraries log as events of the daemon, without their tracebacks."""
+
+    def __init__(self, log: Log) -> None:
+        super().__init__(logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        level = Level.ERROR if record.levelno >= logging.ERROR else Level.WARNING
+        fields = {"library": record.name, "text": record.getMessage()}
+        if record.exc_info and record.exc_info[1] is not None:
+            fields["cause"] = repr(record.exc_info[1])
+        self._log.write(level, "library_message", **fields)
+
+
 def level_of(name: str) -> Level:
     """Return the level of a name in the settings file."""
     return Level[name.upper()]
--- a/packages/entry/src/fuchsiaspread_entry/main.py
+++ b/packages/entry/src/fuchsiaspread_entry/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 import signal
 import sys
 from collections.abc import Sequence
@@ -15,7 +16,7 @@
 from fuchsiaspread_core.parts import Fault
 
 from .daemon import Daemon, create_log
-from .internal.log import Level, Log, print_line
+from .internal.log import Level, LibraryHandler, Log, print_line
 
 VERSION = "0.1.0"
 EXIT_FAULT = 2
@@ -43,6 +44,7 @@
     """Run a daemon until it is stopped by a signal; return the exit status."""
     eliot.add_destinations(print_line)
     log = create_log(settings)
+    logging.getLogger().addHandler(LibraryHandler(log))
     try:
         daemon = Daemon(settings, log)
     except OSError as error:
--- a/packages/entry/tests/entry/test_reports.py
+++ b/packages/entry/tests/entry/test_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import unittest
 from dataclasses import replace
 
@@ -15,7 +16,7 @@
 from fuchsiaspread_entry.internal.counts import CountKey, Counts, Metric
 from fuchsiaspread_entry.internal.directory import MAX_MEMBERS, Directory
 from fuchsiaspread_entry.internal.flow_text import parse_flow
-from fuchsiaspread_entry.internal.log import LINES_BURST, Level, Log, format_line
+from fuchsiaspread_entry.internal.log import LINES_BURST, Level, LibraryHandler, Log, format_line
 from fuchsiaspread_entry.internal.metrics import MAX_SERIES, Metrics
 from fuchsiaspread_entry.tasks.admin_task import MAX_CONNECTIONS
 from fuchsiaspread_entry.tasks.load_task import decode_load
@@ -192,6 +193,16 @@
         value = line.split(" name=", 1)[1]
         self.assertTrue(value.startswith('"') or not set(value) & set(' "='))
 
+    def test_library_messages_become_lines_without_traceback(self) -> None:
+        """Guards against a traceback in the operator's log."""
+        written: list[dict[str, object]] = []
+        log = Log(Level.INFO, lambda: 0, lambda **fields: written.append(fields))
+        error = (ValueError, ValueError("bad frame"), None)
+        record = logging.LogRecord("h2", logging.ERROR, "", 1, "lost %s", ("it",), error)
+        LibraryHandler(log).handle(record)
+        fields = {"library": "h2", "text": "lost it", "cause": "ValueError('bad frame')"}
+        self.assertEqual(written, [{"message_type": "library_message", "level": "error"} | fields])
+
     def test_lines_of_one_event_are_bounded(self) -> None:
         """Guards against a log that grows at packet rate."""
         now_ms, written = [0], []
