--- a/packages/bench/src/fuchsiaspread_bench/__main__.py
+++ b/packages/bench/src/fuchsiaspread_bench/__main__.py
@@ -22,9 +22,10 @@
     "spread",
     "stragglers",
     "configuration",
+    "control_bytes",
 )
 # These measure processor time or packets a second and run alone, one after another.
-WALL_CLOCK_MODULES = ("control", "packets")
+WALL_CLOCK_MODULES = ("control", "packets", "capacity")
 PROCESS_COUNT = 4
 
 
