Take the second SYN-ACK of a restarted target

Cause: a target that restarted before the caller got its SYN-ACK accepts the repeated open with a new token; the record kept the first token, so each packet of the caller was dropped as unknown for 27 s (traced in a fault sequence of the bench). Change: before the caller confirmed the first token, the second replaces it and is copied on. Result: test_second_accept_of_a_restarted_target_replaces_the_token fails before and passes after.

--- a/packages/core/src/fuchsiaspread_core/reply_path.py
+++ b/packages/core/src/fuchsiaspread_core/reply_path.py
@@ -113,8 +113,13 @@
     ) -> list[Effect]:
         if (event.acknowledges - record.caller_token) % TOKEN_RANGE != 1:
             return drop(DropReason.LATE_ANSWER)
-        if record.phase in (Phase.ACCEPTED, Phase.ESTABLISHED):
+        if record.phase is Phase.ESTABLISHED or event.target_token == record.target_token:
             return [SendToCaller(event.payload)]
+        if record.phase is Phase.ACCEPTED:
+            # The target lost the connection before the caller confirmed it, and accepted anew.
+            row = self._state.table.row(record.flow)
+            self._state.table.target_tokens[row] = event.target_token
+            return self._pass_copies(event, route)
         if record.phase is not Phase.OPENING:
             return drop(DropReason.LATE_ANSWER)
         row = self._state.table.row(record.flow)
