Carry the newest parts in control datagrams and split the peer codec

Cause: the codec left out the field `newest` of probes, so over real sockets an entry VM did not hear of a newer part that its peer had seen but refused; the round-trip test built messages without the field.

--- a/packages/bench/src/fuchsiaspread_bench/capacity.py
+++ b/packages/bench/src/fuchsiaspread_bench/capacity.py
@@ -37,7 +37,7 @@
 from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
 from fuchsiaspread_core.relay import ShardKey
 from fuchsiaspread_core.routing import ManagerRanks, ServiceIndex
-from fuchsiaspread_entry.peer_codec import encode_records
+from fuchsiaspread_entry.transfer_codec import encode_records
 
 from .figure import Figure
 from .slope import Slope, allocated_bytes, fit, processor_us, slope_line
--- a/packages/entry/src/fuchsiaspread_entry/internal/authentication.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/authentication.py
@@ -7,7 +7,7 @@
 from fuchsiaspread_configuration import PeerKey
 from fuchsiaspread_core.identifiers import EntryName
 
-from ..peer_codec import PeerFault
+from .peer_fields import PeerFault
 
 TAG_LENGTH_BYTES = 16
 KEY_ID_LENGTH_BYTES = 1
--- a/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/peer_calls.py
@@ -15,8 +15,9 @@
 
 from ..messages.peer_grpc import PeerServiceStub
 from ..messages.peer_pb2 import FetchPartsAnswer, FetchPartsRequest, TransferRecordsRequest
-from ..peer_codec import PeerFault, decode_parts, encode_records
+from ..transfer_codec import decode_parts, encode_records
 from .authentication import Keyring
+from .peer_fields import PeerFault
 from .proof import CallProof, check_call, digest_of, sign_call
 
 CALL_TIMEOUT_S = 3.0
--- a/packages/entry/src/fuchsiaspread_entry/internal/proof.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/proof.py
@@ -6,8 +6,8 @@
 
 from fuchsiaspread_core.identifiers import EntryName
 
-from ..peer_codec import MAX_NAME_LENGTH, PeerFault
 from .authentication import TAG_LENGTH_BYTES, Keyring
+from .peer_fields import MAX_NAME_LENGTH, PeerFault
 
 DIGEST_LENGTH_BYTES = 16
 MAX_NUMBER_DIGITS = 20
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_service_task.py
@@ -19,6 +19,7 @@
 from ..internal.log import Level, Log
 from ..internal.mailboxes import Mailboxes
 from ..internal.peer_calls import ANSWER_SUFFIX, PeerCaller, Unreachable
+from ..internal.peer_fields import PeerFault
 from ..internal.proof import CallProof, check_call, digest_of, sign_call
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
@@ -38,7 +39,7 @@
     TransferRecordsAnswer,
     TransferRecordsRequest,
 )
-from ..peer_codec import PeerFault, decode_records, encode_parts
+from ..transfer_codec import decode_records, encode_parts
 
 CORE_ANSWER_TIMEOUT_S = 2.0
 # More calls at a time than this come from a fault or an attack; the rest are turned away.
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
@@ -13,6 +13,7 @@
 from ..internal.counts import CountKey, Metric
 from ..internal.datagram_socket import Datagram, DatagramSocket
 from ..internal.mailboxes import Mailboxes
+from ..internal.peer_fields import PeerFault
 from ..internal.reporting import Reporter
 from ..internal.task_messages import (
     BootHeard,
@@ -24,7 +25,7 @@
     PeerTaskMessage,
 )
 from ..packets import PacketFault, decode_relayed_packet
-from ..peer_codec import PeerFault, PeerMessage, RelayedPacket, decode_message, encode_message
+from ..peer_codec import PeerMessage, RelayedPacket, decode_message, encode_message
 from .fabric_task import MAX_PACKET_BYTES, dropped
 
 # A packet of the greatest size with its header.
--- a/packages/entry/tests/entry/samples.py
+++ b/packages/entry/tests/entry/samples.py
@@ -93,9 +93,9 @@
 )
 UPDATES = st.lists(MEMBERS, max_size=3).map(tuple)
 CONTROLS = st.one_of(
-    st.builds(Probe, NUMBERS, REVISIONS, UPDATES),
-    st.builds(ProbeAnswer, NUMBERS, ENTRY_NAMES, REVISIONS, UPDATES),
-    st.builds(ProbeRequest, NUMBERS, ENTRY_NAMES, REVISIONS, UPDATES),
+    st.builds(Probe, NUMBERS, REVISIONS, UPDATES, REVISIONS),
+    st.builds(ProbeAnswer, NUMBERS, ENTRY_NAMES, REVISIONS, UPDATES, REVISIONS),
+    st.builds(ProbeRequest, NUMBERS, ENTRY_NAMES, REVISIONS, UPDATES, REVISIONS),
 )
 MESSAGES = st.builds(
     PeerMessage,
--- a/packages/entry/tests/entry/test_peer_messages.py
+++ b/packages/entry/tests/entry/test_peer_messages.py
@@ -14,15 +14,13 @@
 from fuchsiaspread_core.parts import Part, PartName
 from fuchsiaspread_core.relay import FormerTarget, ShardKey
 from fuchsiaspread_entry.internal.authentication import REPLAY_WINDOW, Keyring, ReplayWindows
+from fuchsiaspread_entry.internal.peer_fields import PeerFault
 from fuchsiaspread_entry.internal.proof import CallProof, check_call, digest_of, sign_call
 from fuchsiaspread_entry.messages import peer_pb2
-from fuchsiaspread_entry.peer_codec import (
-    PeerFault,
-    PeerMessage,
-    decode_message,
+from fuchsiaspread_entry.peer_codec import PeerMessage, decode_message, encode_message
+from fuchsiaspread_entry.transfer_codec import (
     decode_parts,
     decode_records,
-    encode_message,
     encode_parts,
     encode_records,
 )
