--- a/packages/standins/src/fuchsiaspread_standins/fabric.py
+++ b/packages/standins/src/fuchsiaspread_standins/fabric.py
@@ -29,9 +29,6 @@
     rules: tuple[LinkRule, ...]
 
 
-FabricMessage = Datagrams | Wake | SetEntries | SetRules
-
-
 class Fabric(DatagramTask):
     """Own the gateway socket and one sending socket for each source host.
 
