Let opens of a zone without a healthy target look elsewhere longer

Cause: with one target a zone, a dead one takes a third of the opens with it. They went round the other zones once and were refused, or waited in a queue that was sized as if the dead target served it.

Change: only healthy targets count in the expected wait; an open that may respill and has no healthy target here goes round for a quarter of its deadline, at most eight at a time; a spilled open that passes through again keeps the targets that failed it.

Tests: an open that comes back to a shard without an untried target is now refused when it is offered, no longer at the next tick.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -81,8 +81,6 @@
         repeated = self._repeat(now_ms, request)
         if repeated is not None:
             return repeated
-        if not self._view.in_use(now_ms):
-            return self._pass_on(request, RefusalReason.NO_TARGET)
         returned = self._respill.returned(request)
         pending = returned or self._wait.pending(now_ms, request, self._history)
         if returned is not None or not self._queue.must_wait(pending.lane):
@@ -90,8 +88,12 @@
             if load is not None:
                 return self._admit(now_ms, pending, load)
         if request.may_spill:
+            if returned is not None:
+                self._respill.leave(pending)
             return Decline(request.flow)
-        reason = self._wait.refusal(now_ms, pending) if returned is None else None
+        reason = self._unservable(now_ms, pending)
+        if reason is None and returned is None:
+            reason = self._wait.refusal(now_ms, pending)
         if reason is not None:
             return Refuse(request.flow, reason)
         self._queue.put(pending, is_first=returned is not None)
@@ -206,9 +208,6 @@
             self._flows.detach_held(flow)
         return None
 
-    def _pass_on(self, request: OpenRequest, reason: RefusalReason) -> Decision:
-        return Decline(request.flow) if request.may_spill else Refuse(request.flow, reason)
-
     def _admit(self, now_ms: int, pending: PendingOpen, load: TargetLoad) -> Admit:
         flow = pending.request.flow
         assert load.has_room(now_ms, pending.lane is not Lane.STREAM)
@@ -233,8 +232,9 @@
         if request.may_spill:
             self._respill.leave(pending)
             return Decline(request.flow)
-        if not self._view.in_use(now_ms, pending.tried):
-            return Refuse(request.flow, RefusalReason.RETRIES_USED)
+        reason = self._unservable(now_ms, pending)
+        if reason is not None:
+            return Refuse(request.flow, reason)
         self._queue.put(pending, is_first=True)
         return Enqueue(request.flow)
 
@@ -266,15 +266,21 @@
     def _refuse_unservable(self, now_ms: int) -> list[Decision]:
         """Refuse waiting opens for which no untried target is in use."""
         decisions: list[Decision] = []
-        has_target = bool(self._view.in_use(now_ms))
         for pending in self._queue.opens():
-            is_hopeless = pending.tried and not self._view.in_use(now_ms, pending.tried)
-            if is_hopeless or not has_target:
+            reason = self._unservable(now_ms, pending)
+            if reason is not None:
                 self._queue.remove(pending.request.flow)
-                reason = RefusalReason.RETRIES_USED if has_target else RefusalReason.NO_TARGET
                 decisions.append(Refuse(pending.request.flow, reason))
         return decisions
 
+    def _unservable(self, now_ms: int, pending: PendingOpen) -> RefusalReason | None:
+        """Return why an open can wait neither for a target here nor for one elsewhere."""
+        if self._view.healthy(now_ms, pending.tried) or self._respill.may_travel(now_ms, pending):
+            return None
+        if self._view.in_use(now_ms, pending.tried) and not pending.request.may_respill:
+            return None
+        return RefusalReason.RETRIES_USED if pending.tried else RefusalReason.NO_TARGET
+
     def _hold_overdue(self, now_ms: int) -> None:
         """Treat requests past their deadline like cancelled ones.
 
--- a/packages/core/src/fuchsiaspread_core/load_view.py
+++ b/packages/core/src/fuchsiaspread_core/load_view.py
@@ -76,9 +76,14 @@
         loads = self._loads.values()
         return [ld for ld in loads if ld.is_in_use(now_ms) and ld.target.name not in tried]
 
+    def healthy(self, now_ms: int, tried: Sequence[TargetName] = ()) -> list[TargetLoad]:
+        """Return the targets in use that do not fail at present."""
+        return [load for load in self.in_use(now_ms, tried) if not load.health.is_suspect]
+
     def slot_count(self, now_ms: int) -> int:
-        """Return how many slots the targets in use have."""
-        return sum(load.slot_limit(now_ms) for load in self.in_use(now_ms))
+        """Return how many slots the healthy targets have, or the failing ones when all fail."""
+        loads = self.healthy(now_ms) or self.in_use(now_ms)
+        return sum(load.slot_limit(now_ms) for load in loads)
 
     def long_slots(self) -> int:
         """Return how many slots long requests hold."""
--- a/packages/core/src/fuchsiaspread_core/respill.py
+++ b/packages/core/src/fuchsiaspread_core/respill.py
@@ -2,6 +2,7 @@
 
 from itertools import chain, islice
 
+from .admitted_flows import time_allowed_ms
 from .decisions import OpenRequest
 from .identifiers import FlowKey
 from .lanes import Lane
@@ -12,6 +13,9 @@
 RESPILL_OPENS = 4
 # A longer queue means that demand exceeds capacity; the other shards are then full as well.
 RESPILL_QUEUE_LIMIT = 8
+# How long an open that its own shard cannot serve looks for a slot in the others. One in four
+# deadlines keeps the refusal early enough for the caller to do something else.
+TRAVEL_PARTS = 4
 
 
 class Respill:
@@ -46,6 +50,14 @@
         """Remember an open that is passed on, with the targets that failed it."""
         self._away[pending.request.flow] = pending
 
+    def may_travel(self, now_ms: int, pending: PendingOpen) -> bool:
+        """Return whether an open may wait here only to look for a slot in other shards."""
+        others = len(self._queue) - (pending.request.flow in self._queue)
+        if not pending.request.may_respill or others >= RESPILL_QUEUE_LIMIT:
+            return False
+        travel_ms = time_allowed_ms(pending.request.kind) // TRAVEL_PARTS
+        return now_ms - pending.offered_ms < travel_ms
+
     def returned(self, request: OpenRequest) -> PendingOpen | None:
         """Return the open that comes back, or None for a new one."""
         pending = self._away.pop(request.flow, None)
--- a/packages/core/tests/core/test_admission_faults.py
+++ b/packages/core/tests/core/test_admission_faults.py
@@ -8,14 +8,16 @@
     Enqueue,
     Inform,
     OpenFailure,
+    OpenRequest,
     Refuse,
     ShardAdmission,
 )
 from fuchsiaspread_core.notices import FlowEnd, RefusalReason
+from fuchsiaspread_core.respill import RESPILL_OPENS, RESPILL_QUEUE_LIMIT
 from fuchsiaspread_core.target_health import FIRST_EJECTION_MS
 from fuchsiaspread_core.target_load import TargetCondition
 
-from .admission_case import SCREENS, STREAM, AdmissionCase, flow
+from .admission_case import REQUEST, SCREENS, STREAM, AdmissionCase, flow
 
 
 class DeadTargetTest(AdmissionCase):
@@ -38,9 +40,23 @@
         self.assertEqual(self.only(admission.tick(260)), Decline(flow(0)))
         self.assertFalse(admission.is_managed(flow(0)))
         # It comes back when no other shard has room; the target that failed it is not tried.
-        self.assertEqual(self.offer(admission, 262, flow(0)), Enqueue(flow(0)))
         refused = Refuse(flow(0), RefusalReason.RETRIES_USED)
-        self.assertEqual(self.only(admission.tick(280)), refused)
+        self.assertEqual(self.offer(admission, 262, flow(0)), refused)
+
+    def test_open_of_a_failing_shard_goes_round_the_others_for_a_while(self) -> None:
+        """Guards against refusing every open of a zone whose only target is dead."""
+        admission = self.shard(1)
+        self.fail_twice(admission, "desk-1")
+        requests = [OpenRequest(flow(n), 1, REQUEST, False, may_respill=True) for n in range(20)]
+        decisions = [admission.offer(10, request) for request in requests]
+        queued = [decision.flow for decision in decisions if isinstance(decision, Enqueue)]
+        self.assertEqual(len(queued), RESPILL_QUEUE_LIMIT)
+        self.assertEqual(admission.tick(20), [Decline(key) for key in queued[:RESPILL_OPENS]])
+        admission.offer(22, requests[0])
+        refused = [d.flow for d in admission.tick(600) if isinstance(d, Refuse)]
+        self.assertNotIn(flow(10), refused)
+        self.assertTrue(set(refused) <= set(queued))
+        self.assertEqual(admission.queued_count, 0)
 
     def test_dead_target_with_the_only_free_slot_gets_no_retries(self) -> None:
         """Guards against a black hole: the dead target is idle, so every open goes to it."""
