Add loss and duplication to the random fault sequences

Cause: the in-memory fleet delivered each packet once; retransmission and duplicates were proved by the scenarios on processes only. Change: packets between all parties can be lost or repeated; two more faults in the random sequences.

--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -46,6 +46,7 @@
 
 TICK_MS = 20
 LINK_DELAY_MS = 1
+DUPLICATE_DELAY_MS = 40
 # How often entry VMs read the targets' load endpoints.
 LOAD_INTERVAL_MS = 500
 # How long the fabric goes on to send packets to an entry VM that is leaving.
@@ -80,6 +81,8 @@
         self.outcomes: Counter[FlowOutcome] = Counter()
         self.cuts: set[tuple[str, str]] = set()
         self.sprayed: list[EntryName] = []
+        self.loss_share = 0.0
+        self.duplicate_share = 0.0
         # Called with each message between entry VMs, for measurements.
         self.observe: Callable[[EntryName, SendToPeer | SendControl | SendRecords], None] = (
             lambda sender, effect: None
@@ -188,11 +191,20 @@
         if self.sprayed:
             name = self._random.choice(self.sprayed)
             if (source_host, name) not in self.cuts:
-                self._deliver(name, to_event(packet, source_host, None))
+                event = to_event(packet, source_host, None)
+                self._transmit(lambda: self._receive(name, event))
 
     def _deliver(self, name: EntryName, event: Event) -> None:
         self.at(LINK_DELAY_MS, lambda: self._receive(name, event))
 
+    def _transmit(self, action: Callable[[], None]) -> None:
+        """Let a packet arrive once, or, by chance, not at all or twice in any order."""
+        if self._random.random() < self.loss_share:
+            return
+        self.at(LINK_DELAY_MS, action)
+        if self._random.random() < self.duplicate_share:
+            self.at(self._random.randint(LINK_DELAY_MS, DUPLICATE_DELAY_MS), action)
+
     def _receive(self, name: EntryName, event: Event) -> None:
         entry = self.entries.get(name)
         if entry is None:
@@ -229,12 +241,12 @@
         match effect:
             case SendToTarget(tunnel, payload):
                 if (me, tunnel.host) not in self.cuts:
-                    self.at(LINK_DELAY_MS, lambda: self._reach_target(tunnel.host, payload))
+                    self._transmit(lambda: self._reach_target(tunnel.host, payload))
             case SendToCaller(payload):
-                self.at(LINK_DELAY_MS, lambda: self._reach_caller(payload))
+                self._transmit(lambda: self._reach_caller(payload))
             case RefuseOpen(flow, token):
                 refusal = TargetPacket.refusal(flow, token)
-                self.at(LINK_DELAY_MS, lambda: self._reach_caller(refusal))
+                self._transmit(lambda: self._reach_caller(refusal))
             case SendToPeer(peer, relay, payload):
                 self._to_peer(me, peer, to_event(payload, "", relay))
             case SendControl(peer, message):
@@ -255,8 +267,13 @@
                 assert_never(effect)
 
     def _to_peer(self, me: EntryName, peer: EntryName, event: Event) -> None:
-        if (me, peer) not in self.cuts:
+        if (me, peer) in self.cuts:
+            return
+        if isinstance(event, RecordsReceived):
+            # Transfers go over a stream transport.
             self._deliver(peer, event)
+        else:
+            self._transmit(lambda: self._receive(peer, event))
 
     def _fetch(self, me: EntryName, peer: EntryName) -> None:
         entry = self.entries.get(peer)
--- a/packages/standins/tests/fleet/test_random_faults.py
+++ b/packages/standins/tests/fleet/test_random_faults.py
@@ -20,7 +20,20 @@
 from hypothesis import strategies as st
 
 FAULTS = st.sampled_from(
-    ["kill", "stop", "join", "freeze", "cut", "heal", "drain", "undrain", "weight", "silent"]
+    [
+        "kill",
+        "stop",
+        "join",
+        "freeze",
+        "cut",
+        "heal",
+        "drain",
+        "undrain",
+        "weight",
+        "silent",
+        "lossy",
+        "duplicating",
+    ]
 )
 STEPS = st.lists(st.tuples(FAULTS, st.integers(0, 7), st.integers(50, 2500)), max_size=6)
 
@@ -56,6 +69,15 @@
                 self._change(fault, number)
             case "silent":
                 self._silence(number)
+            case "lossy":
+                self.fleet.loss_share = 0.02 * number
+            case "duplicating":
+                self.fleet.duplicate_share = 0.1 * number
+
+    def end_faults(self) -> None:
+        """Let the links be whole again."""
+        self.fleet.cuts.clear()
+        self.fleet.loss_share = self.fleet.duplicate_share = 0.0
 
     def _member(self) -> Member:
         return entry_member(self.joined)
@@ -113,7 +135,7 @@
         for fault, number, pause_ms in steps:
             sequence.apply(fault, number)
             sequence.fleet.run(pause_ms)
-        sequence.fleet.cuts.clear()
+        sequence.end_faults()
         sequence.fleet.run(12_000)
         found = examine(sequence.fleet)
         self.assertEqual(
