Keep manager ranks that a change of members cannot touch

Cause: each change of members ranked every shard anew; at the target size of a site that held the core task for about 0.5 s.

--- a/packages/bench/src/fuchsiaspread_bench/capacity.py
+++ b/packages/bench/src/fuchsiaspread_bench/capacity.py
@@ -50,7 +50,8 @@
 POOL_SIZES = (30, 60, 120)
 FLOW_TIME_SIZES = (500, 1000, 2000)
 TRANSFER_SIZES = (1000, 2000, 4000)
-ROUTE_MEMBERS = 50
+SHARD_SIZES = (300, 600, 1200)
+ROUTE_MEMBERS = 400
 TICKS = 200
 RANKED_SHARDS = 50
 
@@ -264,7 +265,7 @@
 def route_change_slope(repetitions: int) -> Slope:
     """Measure the time to put a new list of members in force, for each shard."""
     points = []
-    for size in POOL_SIZES:
+    for size in SHARD_SIZES:
         core = started_core(size // ZONE_COUNT * TARGETS_A_SERVICE, ROUTE_MEMBERS)
         counts = iter(range(ROUTE_MEMBERS + 1, 10**6))
 
--- a/packages/core/src/fuchsiaspread_core/entry.py
+++ b/packages/core/src/fuchsiaspread_core/entry.py
@@ -266,7 +266,7 @@
                 leaving = frozenset(member.name for member in self._membership.leaving)
                 names = frozenset(member.name for member in live)
                 self._state.reachable = names | leaving
-                self._ranks = ManagerRanks(live)
+                self._ranks = self._ranks.with_members(live)
                 return self._change_routes(now_ms, self._state.routes.index)
             case _:
                 assert_never(effect)
--- a/packages/core/src/fuchsiaspread_core/routing.py
+++ b/packages/core/src/fuchsiaspread_core/routing.py
@@ -79,10 +79,10 @@
     """Rank the live entry VMs for each shard; ranks are computed when first asked for."""
 
     def __init__(self, members: tuple[Member, ...]) -> None:
+        self._zones = {member.name: member.zone for member in members}
         self._by_zone: dict[ZoneName, list[EntryName]] = {}
-        for member in members:
-            self._by_zone.setdefault(member.zone, []).append(member.name)
-        self._all = [member.name for member in members]
+        for name, zone in self._zones.items():
+            self._by_zone.setdefault(zone, []).append(name)
         self._ranks: dict[ShardKey, tuple[EntryName, ...]] = {}
 
     def ranks(self, shard: ShardKey) -> tuple[EntryName, ...]:
@@ -92,16 +92,41 @@
             ranks = self._ranks[shard] = self._rank(shard)
         return ranks
 
+    def with_members(self, members: tuple[Member, ...]) -> "ManagerRanks":
+        """Return the ranks of changed members; ranks that the change cannot touch are kept.
+
+        Ranking every shard anew costs the number of shards times the members of a zone, and
+        some member of a large fleet changes every few minutes.
+        """
+        changed = ManagerRanks(members)
+        added = {name for name in changed._zones if self._zones.get(name) != changed._zones[name]}
+        for shard, ranks in self._ranks.items():
+            if all(changed._zones.get(name) == shard.zone for name in ranks):
+                changed._keep(shard, ranks, added)
+        return changed
+
+    def _keep(self, shard: ShardKey, ranks: tuple[EntryName, ...], added: set[EntryName]) -> None:
+        if len(ranks) < RANKS_KEPT or not added.isdisjoint(ranks):
+            return
+        newcomers = [name for name in added if self._zones[name] == shard.zone]
+        if newcomers:
+            ranks = tuple(rank(_key_of(shard), (*ranks, *newcomers))[:RANKS_KEPT])
+        self._ranks[shard] = ranks
+
     def _rank(self, shard: ShardKey) -> tuple[EntryName, ...]:
-        key = f"{shard.service}/{shard.zone}".encode()
+        key = _key_of(shard)
         ranked = rank(key, self._by_zone.get(shard.zone, ()))
         if len(ranked) < RANKS_KEPT:
             # A zone with one entry VM has its backup in another zone, so that the loss of the
             # zone's only entry VM does not lose the records of its targets.
-            ranked += [name for name in rank(key, self._all) if name not in ranked]
+            ranked += [name for name in rank(key, self._zones) if name not in ranked]
         return tuple(ranked[:RANKS_KEPT])
 
 
+def _key_of(shard: ShardKey) -> bytes:
+    return f"{shard.service}/{shard.zone}".encode()
+
+
 class RouteTable:
     """Combine a configuration's index with the ranks of the live entry VMs."""
 
