Date new work of a target by its open

The target dated a flow by the end of its handshake, which a lost entry VM delays by a retransmission; the promise is about opens given to the target. Change: the first SYN dates the flow, also when its handshake never ends. The bound of 3 s stays.

--- a/packages/standins/src/fuchsiaspread_standins/internal/serving.py
+++ b/packages/standins/src/fuchsiaspread_standins/internal/serving.py
@@ -130,6 +130,9 @@
                 self.sent += [] if reset is None else [reset]
                 return
             case _:
+                if is_open and not self._is_known(segment):
+                    # The handshake may end much later when an entry VM is lost meanwhile.
+                    self._last_open_ms = now_ms
                 self._apply(now_ms, self._connections.arrive(now_ms, segment))
 
     def expire(self, now_ms: int) -> None:
@@ -159,7 +162,6 @@
                 case Opened():
                     self._readers[key] = FrameReader()
                     self._open_count += 1
-                    self._last_open_ms = now_ms
                 case Delivered(data):
                     self._read(now_ms, key, data)
                 case PeerClosed():
