Name each broken flow in the log of the entry VM

Cause: the burn report counts broken flows by target and zone, but no report says which flows broke. Flow keys in the log and in /explain also had a `>`, which a shell takes for a redirection when an operator pastes the flow into `fuchsiaspread explain`.

--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/entry_state.py
@@ -99,7 +99,7 @@
         is_in_time = True
         if started_ms is not None and address and isinstance(address.kind, RequestKind):
             is_in_time = now_ms - started_ms <= address.kind.deadline_ms
-        return [Notify(FlowEnded(route.shard.service, route.target.name, end, is_in_time))]
+        return [Notify(FlowEnded(route.shard.service, route.target.name, end, is_in_time, flow))]
 
     def to_target(self, target: TargetName, payload: bytes) -> list[Effect]:
         """Send a caller's packet to a target."""
--- a/packages/core/src/fuchsiaspread_core/identifiers.py
+++ b/packages/core/src/fuchsiaspread_core/identifiers.py
@@ -49,4 +49,4 @@
     """Return a flow key as text for logs and reports."""
     caller, service = IPv4Address(flow[:4]), IPv4Address(flow[4:8])
     caller_port, service_port = int.from_bytes(flow[8:10], "big"), int.from_bytes(flow[10:], "big")
-    return f"{caller}:{caller_port}>{service}:{service_port}"
+    return f"{caller}:{caller_port}-{service}:{service_port}"
--- a/packages/core/src/fuchsiaspread_core/notices.py
+++ b/packages/core/src/fuchsiaspread_core/notices.py
@@ -64,6 +64,7 @@
     target: TargetName
     end: FlowEnd
     is_in_time: bool
+    flow: FlowKey | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/fuchsiaspread_entry/internal/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/notice_log.py
@@ -20,6 +20,7 @@
     ViewBecameFresh,
     ViewBecameStale,
 )
+from fuchsiaspread_core.objectives import BROKEN_ENDS
 
 from .counts import CountKey, Metric
 from .log import Level, Log
@@ -61,10 +62,16 @@
 
 
 def log_notice(log: Log, notice: Notice) -> None:
-    """Write a notice to the log; single flows are only counted."""
+    """Write a notice to the log; flows that did not break are only counted."""
     match notice:
-        case PacketDropped() | FlowOpened() | FlowEnded():
+        case PacketDropped() | FlowOpened():
             return
+        case FlowEnded(service, target, end, flow=flow):
+            # Broken flows are what operators ask about; the others would fill the log.
+            if end in BROKEN_ENDS:
+                name = describe_flow(flow) if flow is not None else ""
+                fields = {"flow": name, "service": service, "target": target, "end": end}
+                log.write(Level.WARNING, "flow_broken", **fields)
         case OpenRefused(service, reason):
             log.write(Level.INFO, "open_refused", service=service, reason=reason)
         case OpenRetried(service, failed, target):
--- a/packages/entry/tests/entry/test_reports.py
+++ b/packages/entry/tests/entry/test_reports.py
@@ -9,8 +9,9 @@
 from dpkt.tcp import TH_ACK, TH_FIN, TH_SYN
 from fuchsiaspread_configuration import FabricSettings, Settings
 from fuchsiaspread_core.events import CallerData, Event, MembersPublished, PartPublished
-from fuchsiaspread_core.identifiers import Endpoint, EntryName, ZoneName
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, ServiceName, TargetName, ZoneName
 from fuchsiaspread_core.members import Member, MemberState
+from fuchsiaspread_core.notices import FlowEnd, FlowEnded
 from fuchsiaspread_core.parts import Part, PartName
 from fuchsiaspread_entry.daemon import Daemon
 from fuchsiaspread_entry.internal.counts import CountKey, Counts, Metric
@@ -18,6 +19,7 @@
 from fuchsiaspread_entry.internal.flow_text import parse_flow
 from fuchsiaspread_entry.internal.log import LINES_BURST, Level, LibraryHandler, Log, format_line
 from fuchsiaspread_entry.internal.metrics import MAX_SERIES, Metrics
+from fuchsiaspread_entry.internal.notice_log import log_notice
 from fuchsiaspread_entry.tasks.admin_task import MAX_CONNECTIONS
 from fuchsiaspread_entry.tasks.load_task import decode_load
 from hypothesis import given, settings
@@ -215,6 +217,16 @@
         log.write(Level.WARNING, "event")
         self.assertEqual(written[-1]["suppressed_lines"], LINES_BURST * 4)
 
+    def test_broken_flows_are_named(self) -> None:
+        """Guards against an operator who cannot tell which flows broke and why."""
+        written: list[dict[str, object]] = []
+        log = Log(Level.INFO, lambda: 0, lambda **fields: written.append(fields))
+        for end in FlowEnd:
+            log_notice(log, FlowEnded(ServiceName("desk"), TargetName("desk-1"), end, True, FLOW))
+        self.assertEqual([line["end"] for line in written], ["reset_by_target", "expired"])
+        self.assertEqual(parse_flow(str(written[0]["flow"])), FLOW)
+        self.assertFalse(set(str(written[0]["flow"])) & set("<>|&;$ "), "unsafe in a shell")
+
 
 class BorderTest(unittest.TestCase):
     @settings(derandomize=True, max_examples=300)
