Give each report of the command line its next step

Cause: following the guide against real daemons showed words that did not fit. explain printed one daemon's "this entry VM", and "on its way" for a closed flow. burn printed an objective of 99.99% as 100%. check did not say whether a change may be published.

Change: explain names the holders of the record and a next step for each phase; burn shows objectives without rounding and names the log event that tells more; check ends with a verdict when it compares; status says that a suspect target gets little work; the platform's message names both options.

Result: `.venv/bin/python tools/run_tests.py operator`: passed, with a new assertion for a closed flow.

--- a/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
@@ -238,6 +238,8 @@
         summary = f"{len(report.faults)} faults; nothing of this may be published"
     else:
         summary = f"no fault; sites: {', '.join(report.sites)}"
+        if report.comparison is not None:
+            summary += f"; {_verdict(report)}"
     compared = comparison_text(report.comparison) if report.comparison is not None else ""
     return sections(
         ("Faults", fault_lines(report.faults)),
@@ -247,6 +249,15 @@
     )
 
 
+def _verdict(report: CheckReport) -> str:
+    comparison = report.comparison
+    if comparison is None or not comparison.changes:
+        return "nothing to publish"
+    if report.warnings or comparison.warnings:
+        return "may be published if you accept each warning"
+    return "may be published"
+
+
 def configurations_of(directory: str, site: str | None) -> InForce | UsageProblem | Unusable:
     """Return the configurations in a directory, which must be free of faults."""
     files = read_fleet((directory,))
--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/explanation.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/explanation.py
@@ -8,7 +8,8 @@
 from fuchsiaspread_configuration import parse_endpoint_text
 
 from ..outcomes import UsageProblem
-from .answers import FlowAnswer, Missing, TargetExplanationAnswer
+from .answers import FlowAnswer, Missing, RecordAnswer, TargetExplanationAnswer
+from .fleet import joined
 
 _FLOW_FORM = re.compile(r"^([0-9.]+:[0-9]+)[->]([0-9.]+:[0-9]+)$")
 _TARGET_FORM = re.compile(r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")
@@ -109,9 +110,9 @@
         target=record.target if record else "",
         phase=record.phase if record else "",
         holders=tuple(sorted(holding)),
-        reason=(best and best.reason) or "",
+        reason=_flow_reason(best, sorted(holding)),
         disagreements=_flow_disagreements(list(answers.values())),
-        next_step=_flow_step(best, record is not None, missing),
+        next_step=_flow_step(best, missing),
         missing=missing,
         is_known=best is not None,
     )
@@ -169,11 +170,35 @@
     return tuple(found)
 
 
-def _flow_step(best: FlowAnswer | None, has_record: bool, missing: tuple[Missing, ...]) -> str:
+def _flow_reason(best: FlowAnswer | None, holders: list[str]) -> str:
+    if best is None:
+        return "no service of the configuration in force has this address"
+    if best.record is None:
+        return "no entry VM that answered has a record of the flow"
+    # The daemons' own words say "this entry VM"; here the answers of several are put together.
+    return f"{joined(holders)} {'have' if len(holders) > 1 else 'has'} the flow's record"
+
+
+def _record_step(record: RecordAnswer, manager: str) -> str:
+    match record.phase:
+        case "queued":
+            return "none; it waits for a slot, and status shows how many wait"
+        case "closing" | "closed" | "cancelled":
+            return (
+                "none if the caller is content; a flow that broke is named in the log of "
+                f"{manager} (event=flow_broken)"
+            )
+        case "refused":
+            return f"the log of {manager} has the reason (event=open_refused)"
+        case _:
+            return f"none; the flow goes to {record.target or 'a target'}"
+
+
+def _flow_step(best: FlowAnswer | None, missing: tuple[Missing, ...]) -> str:
     if best is None:
         return "check the service address; run show to see all addresses of the site"
-    if has_record:
-        return "none; the flow is on its way"
+    if best.record is not None:
+        return _record_step(best.record, best.manager or "the manager")
     if missing:
         return "ask again when the entry VMs below answer; one of them may hold the record"
     return "none if the flow has ended; the next packet of an open flow brings its record back"
--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/fleet.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/fleet.py
@@ -6,6 +6,8 @@
 from .answers import FaultAnswer, Missing, RevisionAnswer, StatusAnswer, TargetAnswer
 
 _UNDISTURBED_STATES = ("active", "draining", "slow_start")
+# A target under suspicion gets single trials, so it is not without work.
+_LITTLE_WORK_STATE = "suspect"
 MAX_NAMES = 4
 _PEER_IS_LIVE = "live"
 _PEER_IS_LEAVING = "leaving"
@@ -209,7 +211,8 @@
     for row in rows:
         if row.state not in _UNDISTURBED_STATES:
             reason = f": {row.reason}" if row.reason else ""
-            problem = f"{row.service} gives it no new work ({row.state}{reason})"
+            amount = "little" if row.state == _LITTLE_WORK_STATE else "no"
+            problem = f"{row.service} gives it {amount} new work ({row.state}{reason})"
             yield Finding(row.name, problem, f"run explain {row.name}, then check the host")
         if not row.manager:
             problem = "has no manager, so it gets no new work"
--- a/packages/operator/src/fuchsiaspread_operator/internal/gather/platform.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/gather/platform.py
@@ -46,7 +46,11 @@
             return Unreachable(where, problem, "try again; if it lasts, ask who runs the platform")
         case NotAnswered(reason=reason):
             problem = f"the platform did not answer: {reason}"
-            return Unreachable(where, problem, "check the address, or compare with --against")
+            return Unreachable(
+                where,
+                problem,
+                "check the address; reports also take --members FILE, and check takes --against",
+            )
 
 
 def _decoded(key: str, body: bytes) -> Published | Unusable:
--- a/packages/operator/src/fuchsiaspread_operator/internal/printing/reports.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/printing/reports.py
@@ -1,14 +1,15 @@
 """Text of each report."""
 
 from collections.abc import Iterable
+from typing import assert_never
 
 from ..decide.answers import Missing
-from ..decide.budget import Alert, BurnReport, Contributor, ServiceBudget
+from ..decide.budget import Alert, BurnReport, Contributor, Promise, ServiceBudget
 from ..decide.changes import Comparison, FileWarning
 from ..decide.checking import SiteValues
 from ..decide.explanation import FlowExplanation, TargetExplanation
 from ..decide.fleet import FleetStatus
-from .text import duration, percent, sections, table
+from .text import duration, exact_percent, percent, sections, table
 
 
 def comparison_text(comparison: Comparison) -> str:
@@ -103,7 +104,7 @@
         (
             b.service,
             b.promise.value,
-            percent(b.target_share),
+            exact_percent(b.target_share),
             duration(window.window_s * 1_000),
             f"{window.bad} of {window.total}",
             f"{window.burn_rate:.3g}",
@@ -159,7 +160,17 @@
     window = duration(budget.contributor_window_s * 1_000)
     zone, target = _contributor("zone", budget.zone), _contributor("target", budget.target)
     named = ", ".join(filter(None, (zone, target))) or "refused before a target was chosen"
-    return f"{budget.service}, {budget.promise.value}, last {window}: {named}"
+    return f"{budget.service}, {budget.promise.value}, last {window}: {named}; {_next(budget)}"
+
+
+def _next(budget: ServiceBudget) -> str:
+    match budget.promise:
+        case Promise.UNBROKEN:
+            return "the logs of the entry VMs name each broken flow (event=flow_broken)"
+        case Promise.IN_TIME:
+            return "the logs of the entry VMs name the reasons (event=open_refused)"
+        case _:
+            assert_never(budget.promise)
 
 
 def _contributor(kind: str, contributor: Contributor | None) -> str:
--- a/packages/operator/src/fuchsiaspread_operator/internal/printing/text.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/printing/text.py
@@ -50,5 +50,10 @@
     return f"{share * 100:.3g}%"
 
 
+def exact_percent(share: float) -> str:
+    """Return a share in percent, without rounding 99.99% up to 100%."""
+    return f"{share * 100:.8g}%"
+
+
 def _cell(value: object) -> str:
     return "-" if value in (None, "") else str(value)
--- a/packages/operator/tests/operator_cli/test_fleet_commands.py
+++ b/packages/operator/tests/operator_cli/test_fleet_commands.py
@@ -153,6 +153,9 @@
         self.assertEqual((report["target"], report["phase"]), ("desk-1", "accepted"))
         self.assertEqual(len(report["holders"]), 1)
         self.assertIn("manager: entry VMs name entry-1 and entry-3", report["disagreements"])
+        ended = route | {"record": record | {"phase": "closed"}}
+        _, output, _ = await self.run_command("explain", f"{FLOW} {self.fleet('/explain', ended)}")
+        self.assertIn("named in the log of entry-1 (event=flow_broken)", output)
         code, output, _ = await self.run_command(
             "explain", f"{FLOW} {self.fleet('/explain', route)}"
         )
