Keep a local site running for operators to try out

Cause: the operations guide could not be followed, since nothing kept entry VMs, targets and a platform running on the addresses of the examples.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON := python3
 BIN := .venv/bin
 QUICK ?= 0
+EXAMPLE := examples/empresa
 PACKAGES := core configuration entry operator standins bench
 
-.PHONY: demo test lint bench format lock messages
+.PHONY: demo site test lint bench format lock messages
 
 .venv/.ready: requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv .venv
@@ -15,6 +16,10 @@
 demo: .venv/.ready
 	$(BIN)/python -m fuchsiaspread_standins.demo
 
+# Keeps the site of an example running on loopback until it is interrupted.
+site: .venv/.ready
+	$(BIN)/python -m fuchsiaspread_standins.site_runner $(EXAMPLE)
+
 test: .venv/.ready
 	$(BIN)/python tools/run_tests.py $(PACKAGES)
 
--- a/packages/standins/src/fuchsiaspread_standins/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/fleet.py
@@ -8,14 +8,17 @@
 from pathlib import Path
 
 import yaml
+from fuchsiaspread_configuration import compile_parts
+from fuchsiaspread_core.configuration import Configuration
 from fuchsiaspread_core.identifiers import Endpoint
+from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
 
 from .caller import CallerReport, CallerTask
 from .fabric import Fabric, SetEntries, SetRules
 from .internal.datagrams import DatagramTask, now_ms
 from .internal.deployment import Deployment, endpoint_of, load_deployment
 from .internal.faults import Cut, LinkRule
-from .internal.networks import lease_network
+from .internal.networks import Network, lease_network
 from .internal.publishing import FileChange, Files, Misspell, change_files
 from .internal.serving import Serving, TargetReport
 from .platform import Platform
@@ -53,8 +56,8 @@
 class Fleet:
     """Own the tasks and processes of one site."""
 
-    def __init__(self, example: Path, seed: int) -> None:
-        self._network = lease_network()
+    def __init__(self, example: Path, seed: int, network: Network | None = None) -> None:
+        self._network = network or lease_network()
         self._folder = tempfile.TemporaryDirectory(prefix="fuchsiaspread-")
         self.deployment: Deployment = load_deployment(example, self._network.second_octet)
         self.files = Files(self.deployment.base, self.deployment.overlay)
@@ -72,14 +75,15 @@
         self.platform = Platform(deployment.platform)
         self.fabric = Fabric(deployment.gateway, entry_hosts, seed)
         service_host = deployment.configuration.services[0].addresses[0].endpoint.host
+        self.caller_octet = int(service_host.split(".")[1]) + CALLER_OCTET_OFFSET
         self.callers = CallerTask(
             Endpoint(f"127.{self._network.second_octet}.{CALLER_HOST}", 0),
             deployment.gateway,
             "flow",
             seed + 1,
-            int(service_host.split(".")[1]) + CALLER_OCTET_OFFSET,
+            self.caller_octet,
         )
-        self.targets = self._make_targets(seed)
+        self.targets = self._make_targets(deployment.configuration, seed)
         self.processes = {
             entry.name: EntryProcess(
                 entry.name,
@@ -136,6 +140,24 @@
         self.files = changed
         self.expected = ExpectedRevision(base, overlay)
 
+    def publish_files(self, files: Files) -> dict[str, int]:
+        """Publish the files that differ from the newest published ones; return their indexes."""
+        overlay_key = f"fuchsiaspread/sites/{self.deployment.site}"
+        changed = {}
+        for key, old, new in (
+            ("fuchsiaspread/base", self.files.base, files.base),
+            (overlay_key, self.files.overlay, files.overlay),
+        ):
+            if new != old:
+                changed[key] = self.platform.publish(key, new.encode())
+        self.files = files
+        if self._start_new_targets(files):
+            self.expected = ExpectedRevision(
+                changed.get("fuchsiaspread/base", self.expected.base),
+                changed.get(overlay_key, self.expected.overlay),
+            )
+        return changed
+
     def note_drain(self, target: str) -> None:
         """Note when a drain was published."""
         self.drained_ms[target] = now_ms()
@@ -215,6 +237,11 @@
         targets = [await target.ask() for target in self.targets.values()]
         return SiteReport(await self.callers.ask(), tuple(targets))
 
+    @property
+    def log_folder(self) -> Path:
+        """Return the folder with the settings and the log of each entry VM."""
+        return Path(self._folder.name)
+
     async def status(self, name: str) -> dict[str, object] | None:
         """Return the status page of an entry VM, or None when it does not answer."""
         body = await self.processes[name].fetch("/status")
@@ -238,11 +265,15 @@
                     return endpoint_of(address["address"])
         raise ValueError(f"{name}: no such address in the base file")
 
-    def _make_targets(self, seed: int) -> dict[str, TargetTask]:
+    def _make_targets(
+        self, configuration: Configuration, seed: int, known: frozenset[str] = frozenset()
+    ) -> dict[str, TargetTask]:
         targets: dict[str, TargetTask] = {}
-        for service in self.deployment.configuration.services:
+        for service in configuration.services:
             addresses = frozenset(address.endpoint for address in service.addresses)
             for target in service.targets:
+                if target.name in known:
+                    continue
                 seed += 1
                 serving = Serving(target.name, addresses, target.slots, seed)
                 targets[target.name] = TargetTask(
@@ -250,6 +281,17 @@
                 )
         return targets
 
+    def _start_new_targets(self, files: Files) -> bool:
+        """Start the targets that are new; return False when the files are not valid."""
+        base = Part(PartName.BASE, 1, files.base.encode())
+        configuration = compile_parts(base, Part(PartName.OVERLAY, 1, files.overlay.encode()))
+        if isinstance(configuration, InvalidConfiguration):
+            return False
+        added = self._make_targets(configuration, len(self.targets), frozenset(self.targets))
+        self.targets |= added
+        self._tasks += [asyncio.create_task(task.run()) for task in added.values()]
+        return True
+
     def _write_settings(self, name: str, settings: str) -> Path:
         path = Path(self._folder.name) / f"{name}.yaml"
         path.write_text(settings, encoding="utf-8")
--- a/packages/standins/src/fuchsiaspread_standins/internal/deployment.py
+++ b/packages/standins/src/fuchsiaspread_standins/internal/deployment.py
@@ -85,6 +85,18 @@
     return Endpoint(host, int(port))
 
 
+def move_addresses(text: str, second_octet: int) -> str:
+    """Return a file's text with its loopback addresses in another network."""
+    return _LOOPBACK.sub(f"127.{second_octet}.", text)
+
+
+def written_octet(folder: Path) -> int:
+    """Return the second octet of the loopback network that an example's files name."""
+    path = next(iter(sorted((folder / "entries").glob("*.yaml"))))
+    form = SettingsForm(**yaml.safe_load(path.read_text(encoding="utf-8")))
+    return int(form.platform[0].split(".")[1])
+
+
 def load_deployment(folder: Path, second_octet: int) -> Deployment:
     """Read an example and move its loopback addresses to a network of its own.
 
@@ -92,7 +104,7 @@
     """
 
     def read(path: Path) -> str:
-        return _LOOPBACK.sub(f"127.{second_octet}.", path.read_text(encoding="utf-8"))
+        return move_addresses(path.read_text(encoding="utf-8"), second_octet)
 
     site_file = next(iter(sorted((folder / "sites").glob("*.yaml"))))
     base, overlay = read(folder / "base.yaml"), read(site_file)
--- a/packages/standins/src/fuchsiaspread_standins/internal/networks.py
+++ b/packages/standins/src/fuchsiaspread_standins/internal/networks.py
@@ -1,5 +1,6 @@
 """Loopback networks for runs that must not meet each other."""
 
+import contextlib
 import os
 import socket
 from dataclasses import dataclass
@@ -20,16 +21,25 @@
         self.lease.close()
 
 
+def lease_written_network(second_octet: int) -> Network:
+    """Return the network that the files of an example name.
+
+    Errors: OSError when another run holds it.
+    """
+    lease = socket.socket()
+    try:
+        lease.bind((f"127.{second_octet}.{LEASE_HOST}", LEASE_PORT))
+    except OSError:
+        lease.close()
+        raise
+    return Network(second_octet, lease)
+
+
 def lease_network() -> Network:
     """Return a network that no other run holds; a bound socket is the lease."""
     count = LAST_OCTET - FIRST_OCTET
     for number in range(count):
         second_octet = FIRST_OCTET + (os.getpid() + number) % count
-        lease = socket.socket()
-        try:
-            lease.bind((f"127.{second_octet}.{LEASE_HOST}", LEASE_PORT))
-        except OSError:
-            lease.close()
-            continue
-        return Network(second_octet, lease)
+        with contextlib.suppress(OSError):
+            return lease_written_network(second_octet)
     raise OSError("every loopback network is in use; end the other runs first")
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/site.py
@@ -0,0 +1,244 @@
+"""A local site that runs until it is told to stop and takes requests over HTTP."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import Any, assert_never
+
+from fuchsiaspread_core.configuration import AddressKind, RequestKind, StreamKind
+from fuchsiaspread_core.identifiers import Endpoint
+from pydantic import BaseModel, ValidationError
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from .caller import StartRequest, StartStream
+from .fleet import Fleet
+from .internal.deployment import endpoint_of, move_addresses
+from .internal.publishing import Files
+from .process import NotReady
+from .scenario import InvalidScenario, Runner, parse_scenario, steps
+
+CONTROL_HOST, CONTROL_PORT = "0.12", 8501
+STREAMS_AN_ADDRESS = 30
+STREAM_INTERVAL_MS = 1_000
+STREAM_TIMEOUT_MS = 8_000
+REQUEST_TIMEOUT_MS = 6_000
+REQUEST_WORK_MS = 20
+REQUEST_INTERVAL_S = 0.1
+# Streams that broke are opened again, so that later trials have flows to look at.
+REFILL_ROUNDS = 50
+MIN_CALLER_PORT = 1024
+
+
+class PublishBody(BaseModel):
+    """Form of a request to publish files."""
+
+    base: str
+    overlay: str
+
+
+class FaultBody(BaseModel):
+    """Form of a request to carry out one fault step of the scenario language."""
+
+    step: str
+
+
+class AnswerBody(BaseModel):
+    """Form of the answer to both requests."""
+
+    is_done: bool
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class PublishAsked:
+    """Ask to publish files; the answer is set on the future."""
+
+    files: Files
+    reply: "asyncio.Future[AnswerBody]"
+
+
+@dataclass(frozen=True, slots=True)
+class FaultAsked:
+    """Ask for a fault; the answer is set on the future."""
+
+    step: str
+    reply: "asyncio.Future[AnswerBody]"
+
+
+Message = PublishAsked | FaultAsked
+
+
+class Site:
+    """Own a fleet, a light load of callers and the address that takes requests."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.runner = Runner(fleet)
+        self._mailbox: asyncio.Queue[Message] = asyncio.Queue()
+        self._octet = int(fleet.deployment.platform.host.split(".")[1])
+        self._tasks: list[asyncio.Task[None]] = []
+        self._server = HTTPServer(
+            Application(
+                [
+                    ("/publish", _PublishHandler, {"site": self}),
+                    ("/fault", _FaultHandler, {"site": self}),
+                ]
+            )
+        )
+        self.control = control_endpoint(self._octet)
+
+    async def start(self) -> list[NotReady]:
+        """Start the fleet, then the load and the address for requests."""
+        failures = await self.fleet.start()
+        if not failures:
+            self._server.listen(self.control.port, self.control.host)
+            self._tasks = [asyncio.create_task(self._load()), asyncio.create_task(self._serve())]
+        return failures
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._server.stop()
+        await self._server.close_all_connections()
+        self.runner.close()
+        await self.fleet.stop()
+
+    def example_flow(self) -> str | None:
+        """Return the flow of the first stream, which is open as long as nothing breaks it."""
+        stream = next(iter(self._addresses(StreamKind)), None)
+        if stream is None:
+            return None
+        caller = f"10.{self.fleet.caller_octet}.0.1:{MIN_CALLER_PORT}"
+        return f"{caller}-{stream.host}:{stream.port}"
+
+    async def ask(self, body: PublishBody | FaultBody) -> AnswerBody:
+        """Hand a request to the site's own task and wait for its answer."""
+        reply: asyncio.Future[AnswerBody] = asyncio.get_running_loop().create_future()
+        match body:
+            case PublishBody(base=base, overlay=overlay):
+                moved = (move_addresses(text, self._octet) for text in (base, overlay))
+                self._mailbox.put_nowait(PublishAsked(Files(*moved), reply))
+            case FaultBody(step=step):
+                self._mailbox.put_nowait(FaultAsked(step, reply))
+            case _:
+                assert_never(body)
+        return await reply
+
+    async def _serve(self) -> None:
+        while True:
+            message = await self._mailbox.get()
+            match message:
+                case PublishAsked(files, reply):
+                    answer = self._publish(files)
+                case FaultAsked(step, reply):
+                    answer = await self._disturb(step)
+                case _:
+                    assert_never(message)
+            if not reply.done():
+                reply.set_result(answer)
+
+    def _publish(self, files: Files) -> AnswerBody:
+        try:
+            changed = self.fleet.publish_files(files)
+        except ValueError as error:
+            return AnswerBody(is_done=False, text=f"{error}; shorten the file")
+        indexes = [f"{key} at index {index}" for key, index in changed.items()]
+        return AnswerBody(is_done=True, text=f"published: {', '.join(indexes) or 'no change'}")
+
+    async def _disturb(self, text: str) -> AnswerBody:
+        scenario = parse_scenario(f"deployment {self.fleet.deployment.name}\n{text}")
+        if isinstance(scenario, InvalidScenario):
+            return AnswerBody(is_done=False, text=f"{text}: {scenario.problem}")
+        for numbered in scenario.steps:
+            if not numbered.text.startswith("fault "):
+                return AnswerBody(is_done=False, text=f"{numbered.text}: not a `fault` step")
+            problem = self._unknown_name(numbered.step)
+            failed = None if problem else await self.runner.run(numbered.step)
+            if problem or failed is not None:
+                return AnswerBody(is_done=False, text=problem or str(failed and failed.problem))
+        return AnswerBody(is_done=True, text=f"done: {text}")
+
+    def _unknown_name(self, step: steps.Step) -> str | None:
+        processes = self.fleet.processes
+        match step:
+            case steps.StartEntry(entry) if entry in processes and processes[entry].is_running:
+                return f"{entry} runs already; stop or kill it first"
+            case (
+                steps.KillEntry(entry)
+                | steps.StopEntry(entry)
+                | steps.StartEntry(entry)
+                | steps.FreezeEntry(entry)
+                | steps.ThawEntry(entry)
+                | steps.HidePlatform(entry)
+            ) if (entry not in processes):
+                return f"{entry}: no such entry VM; there are {', '.join(processes)}"
+            case steps.SwitchTarget(target=target) | steps.LieLoad(target=target) if (
+                target not in self.fleet.targets
+            ):
+                return f"{target}: no such target; there are {', '.join(self.fleet.targets)}"
+            case steps.IsolateZone(zone) if zone not in self.fleet.deployment.zones():
+                return f"{zone}: no such zone; there are {', '.join(self.fleet.deployment.zones())}"
+            case _:
+                return None
+
+    def _addresses(self, kind: type[AddressKind]) -> list[Endpoint]:
+        services = self.fleet.deployment.configuration.services
+        return [a.endpoint for s in services for a in s.addresses if isinstance(a.kind, kind)]
+
+    async def _load(self) -> None:
+        """Keep streams open and send requests at a low constant rate."""
+        streams = [
+            StartStream(address, STREAM_INTERVAL_MS, STREAM_TIMEOUT_MS)
+            for address in self._addresses(StreamKind)
+        ]
+        requests = [
+            StartRequest(address, REQUEST_WORK_MS, REQUEST_TIMEOUT_MS)
+            for address in self._addresses(RequestKind)
+        ]
+        wanted, started, round_number = STREAMS_AN_ADDRESS * len(streams), 0, 0
+        while True:
+            if streams and round_number % REFILL_ROUNDS == 0:
+                report = await self.fleet.callers.ask()
+                while started - report.counts.ended_streams < wanted:
+                    self.fleet.callers.mailbox.put_nowait(streams[started % len(streams)])
+                    started += 1
+            for request in requests:
+                self.fleet.callers.mailbox.put_nowait(request)
+            round_number += 1
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+
+
+def control_endpoint(second_octet: int) -> Endpoint:
+    """Return the address that takes requests for the site of a network."""
+    return endpoint_of(f"127.{second_octet}.{CONTROL_HOST}:{CONTROL_PORT}")
+
+
+class _AskHandler(RequestHandler):
+    """Hand a validated body to the site."""
+
+    form: Any
+
+    def initialize(self, site: Site) -> None:
+        self._site = site
+
+    async def post(self) -> None:
+        try:
+            body = self.form.model_validate_json(self.request.body)
+        except ValidationError as error:
+            self.set_status(400)
+            self.finish(AnswerBody(is_done=False, text=str(error)).model_dump_json())
+            return
+        answer = await self._site.ask(body)
+        with contextlib.suppress(RuntimeError):
+            self.finish(answer.model_dump_json())
+
+
+class _PublishHandler(_AskHandler):
+    form = PublishBody
+
+
+class _FaultHandler(_AskHandler):
+    form = FaultBody
--- /dev/null
+++ b/packages/standins/src/fuchsiaspread_standins/site_runner.py
@@ -0,0 +1,89 @@
+"""Keep a site running for trials: `python -m fuchsiaspread_standins.site_runner EXAMPLE`."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from .fleet import Fleet, SiteReport
+from .internal.deployment import written_octet
+from .internal.networks import lease_written_network
+from .scenario.expectations import tally
+from .site import Site
+
+SEED = 1
+# Callers and entry VMs stop by themselves, also when nobody interrupts the site.
+LIMIT_S = 3_600
+USAGE = "usage: python -m fuchsiaspread_standins.site_runner EXAMPLE, for example examples/empresa"
+
+
+def description(site: Site, example: Path) -> str:
+    """Return what a newcomer needs to work with the running site."""
+    fleet = site.fleet
+    rows = [
+        f"site {fleet.deployment.site} runs; interrupt it with Ctrl-C (it stops after 1 h)",
+        f"platform      {fleet.deployment.platform.host}:{fleet.deployment.platform.port}",
+        f"members list  {example / 'members.json'}",
+        f"logs          {fleet.log_folder}/entry-*.log",
+        f"an open flow  {site.example_flow() or 'none, since no address takes streams'}",
+    ]
+    for name, process in fleet.processes.items():
+        rows.append(f"{name:13} admin {process.admin.host}:{process.admin.port}")
+    control = f".venv/bin/python -m fuchsiaspread_standins.site_control {example}"
+    rows.append(f"publish       {control} publish DIRECTORY")
+    rows.append(f"disturb       {control} fault stop {next(iter(fleet.processes))}")
+    return "\n".join(rows)
+
+
+def outcomes(report: SiteReport) -> str:
+    """Return what the callers saw, to compare with the operators' reports."""
+    counts = tally(report)
+    return (
+        f"callers saw {counts.opened} flows opened, {counts.answered_requests} requests answered, "
+        f"{counts.refused} refused, {counts.broken_requests} requests and "
+        f"{counts.broken_streams} streams broken, {len(counts.not_run_lies)} refused but run, "
+        f"{len(counts.double_runs)} run twice"
+    )
+
+
+async def keep_running(example: Path) -> int:
+    """Run a site until a signal or the time limit; return the exit status."""
+    interrupted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupted.set)
+    try:
+        octet = written_octet(example)
+        site = Site(Fleet(example, SEED, lease_written_network(octet)))
+    except OSError as error:
+        print(f"{example}: {error}; end the other run of this site first")
+        return 1
+    try:
+        print("starting platform, fabric, targets, callers and the entry VM processes", flush=True)
+        failures = await site.start()
+        for failure in failures:
+            print(f"{failure.name} is not ready:\n{failure.output}")
+        if failures:
+            return 1
+        print(description(site, example), flush=True)
+        try:
+            await asyncio.wait_for(interrupted.wait(), LIMIT_S)
+        except TimeoutError:
+            print("the time limit is over")
+        print(outcomes(await site.fleet.report()))
+        return 0
+    finally:
+        await site.stop()
+        print("the site has stopped")
+
+
+def main(arguments: list[str]) -> int:
+    """Run the site of the named example."""
+    if len(arguments) != 1 or not (Path(arguments[0]) / "base.yaml").is_file():
+        print(USAGE)
+        return 2
+    return asyncio.run(keep_running(Path(arguments[0])))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
