--- a/packages/standins/src/fuchsiaspread_standins/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/fleet.py
@@ -198,6 +198,13 @@
         self._later(LOST_LAG_S, lambda: self._withdraw(name))
         self._later(LOST_LAG_S + LIST_LAG_S, self._list_members)
 
+    def note_ended(self, name: str) -> None:
+        """Take an entry VM that an operator's signal has ended out of list and fabric."""
+        self._started.discard(name)
+        self._listed.discard(name)
+        self._withdraw(name)
+        self._list_members()
+
     def freeze_entry(self, name: str) -> None:
         """Pause an entry VM; the fabric withdraws it as one that was lost."""
         self.processes[name].freeze()
--- a/packages/standins/src/fuchsiaspread_standins/site.py
+++ b/packages/standins/src/fuchsiaspread_standins/site.py
@@ -189,7 +189,7 @@
         return [a.endpoint for s in services for a in s.addresses if isinstance(a.kind, kind)]
 
     async def _load(self) -> None:
-        """Keep streams open and send requests at a low constant rate."""
+        """Keep streams open, send requests at a low constant rate, and note ended processes."""
         streams = [
             StartStream(address, STREAM_INTERVAL_MS, STREAM_TIMEOUT_MS)
             for address in self._addresses(StreamKind)
@@ -205,6 +205,8 @@
                 while started - report.counts.ended_streams < wanted:
                     self.fleet.callers.mailbox.put_nowait(streams[started % len(streams)])
                     started += 1
+            for name in self.fleet.ended_by_themselves():
+                self.fleet.note_ended(name)
             for request in requests:
                 self.fleet.callers.mailbox.put_nowait(request)
             round_number += 1
--- a/packages/standins/src/fuchsiaspread_standins/site_runner.py
+++ b/packages/standins/src/fuchsiaspread_standins/site_runner.py
@@ -24,11 +24,12 @@
         f"site {fleet.deployment.site} runs; interrupt it with Ctrl-C (it stops after 1 h)",
         f"platform      {fleet.deployment.platform.host}:{fleet.deployment.platform.port}",
         f"members list  {example / 'members.json'}",
-        f"logs          {fleet.log_folder}/entry-*.log",
+        f"logs          {fleet.log_folder}/entry-*.log, beside the settings in use",
         f"an open flow  {site.example_flow() or 'none, since no address takes streams'}",
     ]
     for name, process in fleet.processes.items():
-        rows.append(f"{name:13} admin {process.admin.host}:{process.admin.port}")
+        admin = f"{process.admin.host}:{process.admin.port}"
+        rows.append(f"{name:13} admin {admin}, process id {process.process_id}")
     control = f".venv/bin/python -m fuchsiaspread_standins.site_control {example}"
     rows.append(f"publish       {control} publish DIRECTORY")
     rows.append(f"disturb       {control} fault stop {next(iter(fleet.processes))}")
