Tell a pause of the entry VM from silence of its targets

Cause: after a gap between ticks every open that was answered meanwhile looked silent, so that a woken entry VM could distrust all of its targets at once.

Change: after a gap of more than 300 ms, opens without an answer and requests at their deadline get 250 ms more, in which waiting answers are read.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -39,6 +39,9 @@
     "ShardAdmission",
 ]
 
+# A gap between ticks, due every 20 ms, that is long enough to make answered opens look silent.
+PAUSE_MS = 300
+
 
 class ShardAdmission:
     """Count the slots and connections of a shard's targets and choose targets for opens.
@@ -57,6 +60,7 @@
         self._outcomes = Outcomes(self._view, self._flows, times, self._history)
         self._budget = RetryBudget()
         self._respill = Respill(self._queue)
+        self._ticked_ms = 0
 
     @property
     def queued_count(self) -> int:
@@ -181,6 +185,10 @@
 
     def tick(self, now_ms: int) -> list[Decision]:
         """Act on deadlines: silent targets, expired queue entries, unconfirmed slots."""
+        if now_ms - self._ticked_ms > PAUSE_MS:
+            # The answers of the targets still wait to be read: this process was silent, not they.
+            self._flows.postpone(now_ms)
+        self._ticked_ms = now_ms
         decisions = self._fail_silent_opens(now_ms)
         for pending in self._queue.expire(now_ms):
             decisions.append(Refuse(pending.request.flow, RefusalReason.DEADLINE))
--- a/packages/core/src/fuchsiaspread_core/admitted_flows.py
+++ b/packages/core/src/fuchsiaspread_core/admitted_flows.py
@@ -118,6 +118,13 @@
                 )
         return opening
 
+    def postpone(self, now_ms: int) -> None:
+        """Allow the answers that are due time to be read after a pause of this process."""
+        for opening in self.openings.values():
+            opening.answer_due_ms = max(opening.answer_due_ms, now_ms + OPEN_ANSWER_MS)
+        for running in self.running.values():
+            running.due_ms = max(running.due_ms, now_ms + OPEN_ANSWER_MS)
+
     def drop_opening(self, flow: FlowKey) -> Opening | None:
         """Forget an open without an accept; its slot is free, since no request was sent."""
         opening = self.openings.pop(flow, None)
