Move the core's private modules to internal

Cause: 21 of the 41 modules of the core are no public API, and a newcomer could not tell which ones to embed. Change: paths of packets, pieces of the admission and hand-over lie in `internal`; no behaviour changes.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 
-from .admitted_flows import AdmittedFlows, Opening
 from .configuration import AddressKind, Target
 from .decisions import (
     Admit,
@@ -14,18 +13,19 @@
     OpenRequest,
     Refuse,
 )
-from .expected_wait import ExpectedWait
 from .flow_table import COUNTED_PHASES, FlowRecord, Phase
 from .identifiers import FlowKey, TargetName
-from .lanes import Lane, LaneHistory
-from .load_view import LoadView
+from .internal.admitted_flows import AdmittedFlows, Opening
+from .internal.expected_wait import ExpectedWait
+from .internal.lanes import Lane, LaneHistory
+from .internal.load_view import LoadView
+from .internal.open_queue import OpenQueue, PendingOpen
+from .internal.outcomes import Outcomes
+from .internal.respill import Respill
+from .internal.retry_budget import RetryBudget
+from .internal.service_times import ServiceTimes
+from .internal.target_load import TargetLoad, TargetSummary
 from .notices import FlowEnd, RefusalReason
-from .open_queue import OpenQueue, PendingOpen
-from .outcomes import Outcomes
-from .respill import Respill
-from .retry_budget import RetryBudget
-from .service_times import ServiceTimes
-from .target_load import TargetLoad, TargetSummary
 
 __all__ = [
     "Admit",
--- a/packages/core/src/fuchsiaspread_core/entry.py
+++ b/packages/core/src/fuchsiaspread_core/entry.py
@@ -2,12 +2,9 @@
 
 from typing import assert_never
 
-from .address_history import FLOW_LIFETIME_LIMIT_MS, AddressHistory
-from .caller_path import CallerPath
 from .configuration import Configuration, Revision
 from .control import PeerRevision
 from .effects import Effect, FetchParts, Notify, SendControl, StopNow
-from .entry_state import EntryState
 from .events import (
     CallerData,
     CallerOpen,
@@ -26,18 +23,21 @@
     TargetReset,
     Tick,
 )
-from .explanation import Explanation
 from .flow_table import COUNTED_PHASES, Phase
-from .handover import Handover
 from .identifiers import EntryName, FlowKey, TargetName
+from .internal.address_history import FLOW_LIFETIME_LIMIT_MS, AddressHistory
+from .internal.caller_path import CallerPath
+from .internal.entry_state import EntryState
+from .internal.explanation import Explanation
+from .internal.handover import Handover
+from .internal.open_path import OpenPath
+from .internal.recovery import Recovery
+from .internal.reply_path import ReplyPath
 from .members import Member
 from .membership import MembersChanged, Membership, MembershipEffect
 from .notices import ConfigurationRefused, FlowEnd
-from .open_path import OpenPath
 from .parts import Compile, Part
-from .recovery import Recovery
 from .relay import RelayOpen
-from .reply_path import ReplyPath
 from .revisions import PutInForce, RevisionEffect, RevisionStore
 from .routing import ManagerRanks, RouteTable, ServiceIndex
 from .status import EntryStatus, FlowExplanation, PeerStatus, TargetExplanation
--- a/packages/core/src/fuchsiaspread_core/address_history.py
+++ b/packages/core/src/fuchsiaspread_core/internal/address_history.py
@@ -1,7 +1,7 @@
 """Which service each address has served."""
 
-from .identifiers import AddressKey, ServiceName
-from .routing import ServiceIndex
+from ..identifiers import AddressKey, ServiceName
+from ..routing import ServiceIndex
 
 # No flow is expected to stay open longer: a counter screen or van stream lasts a working day.
 FLOW_LIFETIME_LIMIT_MS = 24 * 3600 * 1000
--- a/packages/core/src/fuchsiaspread_core/admitted_flows.py
+++ b/packages/core/src/fuchsiaspread_core/internal/admitted_flows.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from .configuration import AddressKind, RequestKind, StreamKind
-from .decisions import OpenRequest
+from ..configuration import AddressKind, RequestKind, StreamKind
+from ..decisions import OpenRequest
+from ..identifiers import FlowKey
 from .held_slots import HeldSlot
-from .identifiers import FlowKey
 from .lanes import Lane
 from .open_queue import PendingOpen
 from .target_load import TargetLoad
--- a/packages/core/src/fuchsiaspread_core/caller_path.py
+++ b/packages/core/src/fuchsiaspread_core/internal/caller_path.py
@@ -1,20 +1,20 @@
 """The path of a caller's packets after the open."""
 
-from .effects import Effect, SendToPeer
-from .entry_state import EntryState, drop
-from .events import CallerData, CallerReset
-from .flow_table import FORWARDED_PHASES, FlowRecord, Phase, Signal
-from .identifiers import EntryName, FlowKey
-from .notices import DropReason, FlowEnd
-from .open_path import OpenPath
-from .recovery import Recovery
-from .relay import (
+from ..effects import Effect, SendToPeer
+from ..events import CallerData, CallerReset
+from ..flow_table import FORWARDED_PHASES, FlowRecord, Phase, Signal
+from ..identifiers import EntryName, FlowKey
+from ..notices import DropReason, FlowEnd
+from ..relay import (
     MAX_RELAY_HOPS,
     RelayAsk,
     RelayReturn,
     RelayToManager,
     RelayUnknown,
 )
+from .entry_state import EntryState, drop
+from .open_path import OpenPath
+from .recovery import Recovery
 
 TOKEN_RANGE = 2**32
 # A target sends less than this before the caller's first packet reaches a holder of the record.
--- a/packages/core/src/fuchsiaspread_core/entry_state.py
+++ b/packages/core/src/fuchsiaspread_core/internal/entry_state.py
@@ -3,16 +3,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ..admission import ShardAdmission
+from ..configuration import RequestKind, Target, TargetState
+from ..effects import Effect, Notify, SendToTarget
+from ..flow_table import COUNTED_PHASES, FlowRecord, FlowTable
+from ..identifiers import Endpoint, EntryName, FlowKey, TargetName, ZoneName
+from ..notices import DropReason, FlowEnd, FlowEnded, FlowOpened, PacketDropped
+from ..relay import FormerTarget, ShardKey
+from ..routing import ManagerRanks, RouteTable, ServiceIndex, TargetRoute
 from .address_history import AddressHistory
-from .admission import ShardAdmission
-from .configuration import RequestKind, Target, TargetState
-from .effects import Effect, Notify, SendToTarget
 from .expiry import RecordExpiry
-from .flow_table import COUNTED_PHASES, FlowRecord, FlowTable
-from .identifiers import Endpoint, EntryName, FlowKey, TargetName, ZoneName
-from .notices import DropReason, FlowEnd, FlowEnded, FlowOpened, PacketDropped
-from .relay import FormerTarget, ShardKey
-from .routing import ManagerRanks, RouteTable, ServiceIndex, TargetRoute
 
 # Earlier tables are asked for records; by then a flow's records have reached later managers.
 RETAINED_TABLES = 6
--- a/packages/core/src/fuchsiaspread_core/expected_wait.py
+++ b/packages/core/src/fuchsiaspread_core/internal/expected_wait.py
@@ -2,12 +2,12 @@
 
 from math import sqrt
 
+from ..configuration import RequestKind
+from ..decisions import OpenRequest
+from ..notices import RefusalReason
 from .admitted_flows import time_allowed_ms
-from .configuration import RequestKind
-from .decisions import OpenRequest
 from .lanes import Lane, LaneHistory
 from .load_view import LoadView
-from .notices import RefusalReason
 from .open_queue import OpenQueue, PendingOpen
 from .service_times import WINDOW_SAMPLES, ServiceTimes
 
--- a/packages/core/src/fuchsiaspread_core/expiry.py
+++ b/packages/core/src/fuchsiaspread_core/internal/expiry.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-from .flow_table import ENDED_PHASES, FlowTable
-from .identifiers import FlowKey
+from ..flow_table import ENDED_PHASES, FlowTable
+from ..identifiers import FlowKey
 
 # Retransmissions of the last packets arrive within this time.
 LINGER_MS = 10_000
--- a/packages/core/src/fuchsiaspread_core/explanation.py
+++ b/packages/core/src/fuchsiaspread_core/internal/explanation.py
@@ -1,10 +1,10 @@
 """Answers to operators' questions about flows and targets."""
 
+from ..flow_table import NO_TARGET
+from ..identifiers import FlowKey, TargetName
+from ..routing import TargetRoute
+from ..status import FlowExplanation, TargetExplanation, TargetStatus
 from .entry_state import EntryState
-from .flow_table import NO_TARGET
-from .identifiers import FlowKey, TargetName
-from .routing import TargetRoute
-from .status import FlowExplanation, TargetExplanation, TargetStatus
 from .target_load import TargetCondition
 
 # What each condition means for the operator, and what to do next.
--- a/packages/core/src/fuchsiaspread_core/handover.py
+++ b/packages/core/src/fuchsiaspread_core/internal/handover.py
@@ -1,14 +1,14 @@
 """Hand-over of shards between entry VMs when managers change."""
 
-from .admission import ShardAdmission
-from .effects import Effect, Notify, SendRecords, SendToPeer
+from ..admission import ShardAdmission
+from ..effects import Effect, Notify, SendRecords, SendToPeer
+from ..events import CallerOpen
+from ..flow_table import COUNTED_PHASES, FlowRecord, Phase
+from ..identifiers import EntryName, FlowKey
+from ..notices import RecordsHandedOver
+from ..relay import RelayOpen, ShardKey
+from ..routing import RouteTable
 from .entry_state import EntryState, PendingOpen
-from .events import CallerOpen
-from .flow_table import COUNTED_PHASES, FlowRecord, Phase
-from .identifiers import EntryName, FlowKey
-from .notices import RecordsHandedOver
-from .relay import RelayOpen, ShardKey
-from .routing import RouteTable
 
 # A new manager waits this long for the former manager's records before it decides opens: its
 # counts would otherwise give out slots that are in use.
--- a/packages/core/src/fuchsiaspread_core/held_slots.py
+++ b/packages/core/src/fuchsiaspread_core/internal/held_slots.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from .identifiers import FlowKey
+from ..identifiers import FlowKey
 
 # One report may have been made before the cancellation reached the target.
 FREE_REPORTS_NEEDED = 2
--- a/packages/core/src/fuchsiaspread_core/lanes.py
+++ b/packages/core/src/fuchsiaspread_core/internal/lanes.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from enum import IntEnum
 
-from .identifiers import FlowKey, address_of
+from ..identifiers import FlowKey, address_of
 
 NETWORK_LENGTH_BYTES = 3  # a /24 network
 HISTORY_LIMIT = 4096
--- a/packages/core/src/fuchsiaspread_core/load_view.py
+++ b/packages/core/src/fuchsiaspread_core/internal/load_view.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator, Sequence
 from math import ceil
 
-from .configuration import Target, TargetState
-from .decisions import Decision, Inform
-from .identifiers import Endpoint, FlowKey, TargetName, ZoneName
+from ..configuration import Target, TargetState
+from ..decisions import Decision, Inform
+from ..identifiers import Endpoint, FlowKey, TargetName, ZoneName
+from ..notices import TargetEjected
+from ..rendezvous import rank
 from .lanes import Lane
-from .notices import TargetEjected
-from .rendezvous import rank
 from .target_load import TargetLoad
 
 # At most half of the active targets are ejected, and never the last one: with few targets a
--- a/packages/core/src/fuchsiaspread_core/open_path.py
+++ b/packages/core/src/fuchsiaspread_core/internal/open_path.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 from typing import assert_never
 
-from .admission import (
+from ..admission import (
     Admit,
     Decision,
     Decline,
@@ -13,14 +13,14 @@
     OpenRequest,
     Refuse,
 )
-from .effects import Effect, Notify, RefuseOpen, SendToPeer
+from ..effects import Effect, Notify, RefuseOpen, SendToPeer
+from ..events import CallerOpen
+from ..flow_table import ENDED_PHASES, NO_TARGET, FlowRecord, Phase
+from ..identifiers import FlowKey, TargetName
+from ..notices import DropReason, FlowEnd, OpenRefused, RefusalReason
+from ..relay import MAX_RELAY_HOPS, RelayOpen, ShardKey
+from ..routing import AddressRoute
 from .entry_state import EntryState, PendingOpen, drop
-from .events import CallerOpen
-from .flow_table import ENDED_PHASES, NO_TARGET, FlowRecord, Phase
-from .identifiers import FlowKey, TargetName
-from .notices import DropReason, FlowEnd, OpenRefused, RefusalReason
-from .relay import MAX_RELAY_HOPS, RelayOpen, ShardKey
-from .routing import AddressRoute
 
 # The caller token of a record that was learnt from a packet of an established flow.
 UNKNOWN_TOKEN = 0
--- a/packages/core/src/fuchsiaspread_core/open_queue.py
+++ b/packages/core/src/fuchsiaspread_core/internal/open_queue.py
@@ -6,8 +6,8 @@
 from heapq import heappop, heappush
 from itertools import takewhile
 
-from .decisions import OpenRequest
-from .identifiers import FlowKey, TargetName
+from ..decisions import OpenRequest
+from ..identifiers import FlowKey, TargetName
 from .lanes import Lane
 
 # The expected wait bounds the queue; these counts bound its memory when estimates are wrong.
--- a/packages/core/src/fuchsiaspread_core/outcomes.py
+++ b/packages/core/src/fuchsiaspread_core/internal/outcomes.py
@@ -3,13 +3,13 @@
 from collections import OrderedDict
 from math import ceil
 
+from ..decisions import Decision, OpenFailure
+from ..identifiers import FlowKey
+from ..notices import FlowEnd
 from .admitted_flows import AdmittedFlows, Opening, Running
-from .decisions import Decision, OpenFailure
 from .held_slots import HeldSlot
-from .identifiers import FlowKey
 from .lanes import LaneHistory
 from .load_view import LoadView
-from .notices import FlowEnd
 from .service_times import ServiceTimes
 from .target_health import EJECTION_FAILURES
 from .target_load import TargetLoad
--- a/packages/core/src/fuchsiaspread_core/recovery.py
+++ b/packages/core/src/fuchsiaspread_core/internal/recovery.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from .effects import Effect, SendToCaller
+from ..effects import Effect, SendToCaller
+from ..identifiers import FlowKey, TargetName, address_of
+from ..notices import DropReason
+from ..rendezvous import rank
 from .entry_state import EntryState, drop
-from .identifiers import FlowKey, TargetName, address_of
-from .notices import DropReason
-from .rendezvous import rank
 
 # A dead candidate never resets; after this many packets the next candidate is tried.
 PACKETS_PER_CANDIDATE = 3
--- a/packages/core/src/fuchsiaspread_core/reply_path.py
+++ b/packages/core/src/fuchsiaspread_core/internal/reply_path.py
@@ -1,15 +1,15 @@
 """The path of a target's replies."""
 
-from .effects import Effect, Notify, SendToCaller, SendToPeer
+from ..effects import Effect, Notify, SendToCaller, SendToPeer
+from ..events import TargetAccept, TargetClose, TargetData, TargetEvent, TargetReset
+from ..flow_table import COUNTED_PHASES, ENDED_PHASES, FlowRecord, Phase, Signal
+from ..identifiers import EntryName, TargetName
+from ..notices import DropReason, FlowEnd, FlowRecovered
+from ..relay import MAX_RELAY_HOPS, RelayCopy, RelayReply
+from ..routing import TargetRoute
 from .entry_state import EntryState, drop
-from .events import TargetAccept, TargetClose, TargetData, TargetEvent, TargetReset
-from .flow_table import COUNTED_PHASES, ENDED_PHASES, FlowRecord, Phase, Signal
-from .identifiers import EntryName, TargetName
-from .notices import DropReason, FlowEnd, FlowRecovered
 from .open_path import UNKNOWN_TOKEN, OpenPath
 from .recovery import Recovery
-from .relay import MAX_RELAY_HOPS, RelayCopy, RelayReply
-from .routing import TargetRoute
 
 TOKEN_RANGE = 2**32
 # A target sends less than this to a caller that has not yet acknowledged its SYN-ACK.
--- a/packages/core/src/fuchsiaspread_core/respill.py
+++ b/packages/core/src/fuchsiaspread_core/internal/respill.py
@@ -2,9 +2,9 @@
 
 from itertools import chain, islice
 
+from ..decisions import OpenRequest
+from ..identifiers import FlowKey
 from .admitted_flows import time_allowed_ms
-from .decisions import OpenRequest
-from .identifiers import FlowKey
 from .lanes import Lane
 from .open_queue import OpenQueue, PendingOpen
 
--- a/packages/core/src/fuchsiaspread_core/target_health.py
+++ b/packages/core/src/fuchsiaspread_core/internal/target_health.py
@@ -1,6 +1,6 @@
 """What a target's answers say about its health: probation and ejection."""
 
-from .identifiers import FlowKey
+from ..identifiers import FlowKey
 
 # Three failures in a row are needed, so that one lost packet or one crash does not eject.
 EJECTION_FAILURES = 3
--- a/packages/core/src/fuchsiaspread_core/target_load.py
+++ b/packages/core/src/fuchsiaspread_core/internal/target_load.py
@@ -4,9 +4,9 @@
 from enum import StrEnum
 from math import ceil
 
-from .configuration import Target, TargetState
+from ..configuration import Target, TargetState
+from ..identifiers import TargetName
 from .held_slots import HeldSlots
-from .identifiers import TargetName
 from .target_health import TargetHealth
 
 SLOW_START_MS = 10_000
--- a/packages/core/src/fuchsiaspread_core/status.py
+++ b/packages/core/src/fuchsiaspread_core/status.py
@@ -5,9 +5,9 @@
 from .configuration import Revision
 from .flow_table import Phase
 from .identifiers import EntryName, ServiceName, TargetName, ZoneName
+from .internal.target_load import TargetSummary
 from .notices import ConfigurationRefused
 from .relay import ShardKey
-from .target_load import TargetSummary
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/tests/core/admission_case.py
+++ b/packages/core/tests/core/admission_case.py
@@ -18,8 +18,8 @@
     TargetState,
 )
 from fuchsiaspread_core.identifiers import Endpoint, FlowKey, TargetName, ZoneName, flow_key
+from fuchsiaspread_core.internal.target_load import TargetCondition
 from fuchsiaspread_core.notices import FlowEnd
-from fuchsiaspread_core.target_load import TargetCondition
 
 REQUEST = RequestKind(deadline_ms=2000, repeatable=False)
 STREAM = StreamKind(open_deadline_ms=2000)
--- a/packages/core/tests/core/test_admission.py
+++ b/packages/core/tests/core/test_admission.py
@@ -6,10 +6,10 @@
 from fuchsiaspread_core.configuration import TargetState
 from fuchsiaspread_core.flow_table import FlowRecord, Phase
 from fuchsiaspread_core.identifiers import TargetName
-from fuchsiaspread_core.lanes import HISTORY_LIMIT, LaneHistory, network_of
+from fuchsiaspread_core.internal.lanes import HISTORY_LIMIT, LaneHistory, network_of
+from fuchsiaspread_core.internal.respill import RESPILL_OPENS
+from fuchsiaspread_core.internal.target_load import SLOW_START_MS, TargetCondition
 from fuchsiaspread_core.notices import FlowEnd, RefusalReason
-from fuchsiaspread_core.respill import RESPILL_OPENS
-from fuchsiaspread_core.target_load import SLOW_START_MS, TargetCondition
 
 from .admission_case import REQUEST, SCREENS, STREAM, AdmissionCase, flow, target
 
--- a/packages/core/tests/core/test_admission_faults.py
+++ b/packages/core/tests/core/test_admission_faults.py
@@ -12,10 +12,10 @@
     Refuse,
     ShardAdmission,
 )
+from fuchsiaspread_core.internal.respill import RESPILL_OPENS, RESPILL_QUEUE_LIMIT
+from fuchsiaspread_core.internal.target_health import FIRST_EJECTION_MS
+from fuchsiaspread_core.internal.target_load import TargetCondition
 from fuchsiaspread_core.notices import FlowEnd, RefusalReason
-from fuchsiaspread_core.respill import RESPILL_OPENS, RESPILL_QUEUE_LIMIT
-from fuchsiaspread_core.target_health import FIRST_EJECTION_MS
-from fuchsiaspread_core.target_load import TargetCondition
 
 from .admission_case import REQUEST, SCREENS, STREAM, AdmissionCase, flow
 
--- a/packages/entry/src/fuchsiaspread_entry/internal/reports.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/reports.py
@@ -3,8 +3,9 @@
 from collections.abc import Mapping
 
 from fuchsiaspread_core.configuration import Configuration, Revision, TargetState
-from fuchsiaspread_core.explanation import CONDITION_TEXTS
 from fuchsiaspread_core.identifiers import FlowKey, TargetName, describe_flow
+from fuchsiaspread_core.internal.explanation import CONDITION_TEXTS
+from fuchsiaspread_core.internal.target_load import TargetCondition
 from fuchsiaspread_core.notices import ConfigurationRefused
 from fuchsiaspread_core.objectives import Counts, ObjectiveSnapshot, ServiceCounts, WindowCounts
 from fuchsiaspread_core.status import (
@@ -14,7 +15,6 @@
     TargetExplanation,
     TargetStatus,
 )
-from fuchsiaspread_core.target_load import TargetCondition
 
 Body = dict[str, object]
 
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from typing import assert_never
 
-from fuchsiaspread_core.address_history import FLOW_LIFETIME_LIMIT_MS
 from fuchsiaspread_core.effects import (
     Effect,
     FetchParts,
@@ -37,6 +36,7 @@
     Tick,
 )
 from fuchsiaspread_core.identifiers import EntryName
+from fuchsiaspread_core.internal.address_history import FLOW_LIFETIME_LIMIT_MS
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import Compile, Part, PartName
 
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/site.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/site.py
@@ -3,7 +3,6 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from fuchsiaspread_core.address_history import FLOW_LIFETIME_LIMIT_MS
 from fuchsiaspread_core.configuration import (
     Configuration,
     Objective,
@@ -23,6 +22,7 @@
     ZoneName,
     flow_key,
 )
+from fuchsiaspread_core.internal.address_history import FLOW_LIFETIME_LIMIT_MS
 from fuchsiaspread_core.members import Member
 from fuchsiaspread_core.parts import InvalidConfiguration, Part, PartName
 
