Run two scenarios at once

Cause: three at once raised the load of the shared machine to 24, and two scenarios then failed on refusals that the core makes under load (reported, not relaxed). Change: two scenarios run at once; no expectation changes.

--- a/packages/standins/tests/integration/test_scenarios.py
+++ b/packages/standins/tests/integration/test_scenarios.py
@@ -8,8 +8,8 @@
 
 FILES = sorted((Path(__file__).parent.parent / "scenarios").glob("*.scenario"))
 EXAMPLES = Path(__file__).parents[4] / "examples"
-# A scenario mostly waits; each takes five processes, so that three keep half of ten cores free.
-CONCURRENT_SCENARIOS = 3
+# Each scenario takes five processes; more at once would fill a machine that others use too.
+CONCURRENT_SCENARIOS = 2
 
 
 def run(path):
