Rank no entry VM that has no configuration

Change: a member whose control messages state revision 0/0 is not ranked until it states another one.

--- a/packages/core/src/fuchsiaspread_core/entry.py
+++ b/packages/core/src/fuchsiaspread_core/entry.py
@@ -3,7 +3,7 @@
 from typing import assert_never
 
 from .configuration import Configuration, Revision
-from .control import PeerRevision
+from .control import NO_REVISION, PeerRevision
 from .effects import Effect, FetchParts, Notify, SendControl, StopNow
 from .events import (
     CallerData,
@@ -259,18 +259,33 @@
             case SendControl() | Notify():
                 return [effect]
             case PeerRevision(peer, revision):
-                self._peer_revisions[peer] = revision
-                return self._from_revisions(now_ms, effect)
+                return self._note_revision(now_ms, peer, revision) + self._from_revisions(
+                    now_ms, effect
+                )
             case MembersChanged(live):
                 self._live = live
-                leaving = frozenset(member.name for member in self._membership.leaving)
-                names = frozenset(member.name for member in live)
-                self._state.reachable = names | leaving
-                self._ranks = self._ranks.with_members(live)
-                return self._change_routes(now_ms, self._state.routes.index)
+                return self._rank_members(now_ms)
             case _:
                 assert_never(effect)
 
+    def _note_revision(self, now_ms: int, peer: EntryName, revision: Revision) -> list[Effect]:
+        was_configured = self._is_configured(peer)
+        self._peer_revisions[peer] = revision
+        if self._is_configured(peer) == was_configured:
+            return []
+        return self._rank_members(now_ms)
+
+    def _rank_members(self, now_ms: int) -> list[Effect]:
+        """Rank the live members; one without a configuration would drop what it is handed."""
+        leaving = frozenset(member.name for member in self._membership.leaving)
+        self._state.reachable = frozenset(member.name for member in self._live) | leaving
+        ranked = tuple(member for member in self._live if self._is_configured(member.name))
+        self._ranks = self._ranks.with_members(ranked)
+        return self._change_routes(now_ms, self._state.routes.index)
+
+    def _is_configured(self, name: EntryName) -> bool:
+        return self._peer_revisions.get(name) != NO_REVISION
+
     def _from_revisions(
         self, now_ms: int, event: PartPublished | PartsReceived | PeerRevision | Tick
     ) -> list[Effect]:
