Explain a flow by the record of its manager

Cause: explain showed the record of the first entry VM by name. A backup's copy stays `accepted` while the manager knows that the flow is established. That made test_reports_of_a_healthy_site fail in 2 of 12 runs.

Change: explain takes the manager's record before a copy.

--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/explanation.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/explanation.py
@@ -99,7 +99,9 @@
     holding = {label: answer for label, answer in answers.items() if answer.record is not None}
     # An entry VM with the record knows most; without one, any answer tells the route.
     routed = (answer for answer in answers.values() if answer.service)
-    best = next(iter(holding.values()), None) or next(routed, None)
+    # A copy may still say `accepted` when the manager knows that the flow is established.
+    managing = (answer for label, answer in holding.items() if answer.manager == label)
+    best = next(managing, None) or next(iter(holding.values()), None) or next(routed, None)
     record = best.record if best else None
     return FlowExplanation(
         flow=subject.flow,
--- a/packages/operator/tests/operator_cli/test_fleet_commands.py
+++ b/packages/operator/tests/operator_cli/test_fleet_commands.py
@@ -20,6 +20,8 @@
 from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName
 from fuchsiaspread_core.notices import FlowEnd, FlowEnded, FlowOpened
 from fuchsiaspread_core.objectives import ObjectiveCounters
+from fuchsiaspread_operator.internal.decide.answers import FlowAnswer, RecordAnswer
+from fuchsiaspread_operator.internal.decide.explanation import FlowSubject, explain_flow
 
 from .fixtures import EXAMPLES, Respond, answering, burn, run, serve, status, window
 
@@ -162,6 +164,17 @@
         self.assertEqual(code, 0)
         self.assertIn("the next packet of an open flow brings its record back", output)
 
+    def test_record_of_the_manager_goes_before_copies(self) -> None:
+        """Guards against the phase of a backup's copy, which lags behind the manager's."""
+        phases = {"entry-1": "accepted", "entry-3": "established"}
+        answers = {
+            name: FlowAnswer(
+                flow=FLOW, manager="entry-3", record=RecordAnswer(target="desk-1", phase=phase)
+            )
+            for name, phase in phases.items()
+        }
+        self.assertEqual(explain_flow(FlowSubject(FLOW), answers, ()).phase, "established")
+
     async def test_explain_target_and_unknown_names(self) -> None:
         """Guards against a typing error that reads like a healthy target."""
         known = {"target": "desk-1", "service": "order-desk", "zone": "zone-a", "state": "ejected"}
