--- a/packages/core/tests/core/test_entry.py
+++ b/packages/core/tests/core/test_entry.py
@@ -12,11 +12,14 @@
     Target,
     TargetState,
 )
+from fuchsiaspread_core.control import Probe
 from fuchsiaspread_core.effects import SendToCaller, SendToTarget
 from fuchsiaspread_core.entry import EntryCore
 from fuchsiaspread_core.events import (
     CallerData,
     CallerOpen,
+    ControlReceived,
+    MembersPublished,
     PartPublished,
     TargetAccept,
     TargetReset,
@@ -69,6 +72,21 @@
         data = CallerData(FLOW, NEW_TOKEN + 1, b"data")
         self.assertNotIn(SendToTarget(TUNNEL, b"data"), self.core.handle(2, data))
 
+    def test_member_without_configuration_manages_nothing(self) -> None:
+        """Guards against handing opens to an entry VM that drops them."""
+        other = Member(EntryName("entry-2"), ZONE, Endpoint("127.0.1.2", 1), Endpoint("", 2))
+        self.core.handle(10, MembersPublished((other,)))
+        self.assertEqual(self.managers(), {EntryName("entry-1"), EntryName("entry-2")})
+        for revision, expected in ((Revision(0, 0), 1), (Revision(1, 1), 2)):
+            probe = Probe(1, revision, (other,))
+            self.core.handle(11, ControlReceived(other.name, probe))
+            self.assertEqual(len(self.managers()), expected)
+
+    def managers(self) -> set[EntryName]:
+        """Return the manager and backup of the only shard."""
+        explained = self.core.explain_flow(FLOW)
+        return {name for name in (explained.manager, explained.backup) if name is not None}
+
     def test_stray_reset_does_not_reach_the_caller(self) -> None:
         """Guards against a reset that answers a packet bound to another target."""
         stray = TargetReset(FLOW, NEW_TOKEN, TUNNEL.host, b"reset")
