Compare columns before making records for a hand-over

Cause: each change of managers made an object of every record, which held the core task for 0.3 to 0.6 s at 300,000 flows. Change: the table compares the target and phase columns first.

--- a/packages/core/src/fuchsiaspread_core/flow_table.py
+++ b/packages/core/src/fuchsiaspread_core/flow_table.py
@@ -1,7 +1,7 @@
 """The flow records of one entry VM, stored in columns."""
 
 from array import array
-from collections.abc import Iterator
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -120,9 +120,16 @@
         row = self._rows.get(flow, -1)
         return None if row < 0 else self._record_at(flow, row)
 
-    def records(self) -> Iterator[FlowRecord]:
-        """Iterate over all records."""
-        return (self._record_at(flow, row) for flow, row in self._rows.items())
+    def records_of(
+        self, targets: Collection[TargetName], phases: Collection[Phase]
+    ) -> list[FlowRecord]:
+        """Return the records at some targets; the columns are compared before objects are made."""
+        numbers = {self._target_numbers[name] for name in targets if name in self._target_numbers}
+        return [
+            self._record_at(flow, row)
+            for flow, row in self._rows.items()
+            if self.targets[row] in numbers and self.phases[row] in phases
+        ]
 
     def flows(self) -> list[FlowKey]:
         """Return the keys of all records."""
--- a/packages/core/src/fuchsiaspread_core/internal/handover.py
+++ b/packages/core/src/fuchsiaspread_core/internal/handover.py
@@ -1,5 +1,7 @@
 """Hand-over of shards between entry VMs when managers change."""
 
+from collections.abc import Collection
+
 from ..admission import ShardAdmission
 from ..effects import Effect, Notify, SendRecords, SendToPeer
 from ..events import CallerOpen
@@ -99,10 +101,9 @@
     def _send(self, sends: dict[EntryName, set[ShardKey]]) -> list[Effect]:
         if not sends:
             return []
-        records = [record for record in self._state.table.records() if self._is_sent(record)]
         effects: list[Effect] = []
         for peer, shards in sends.items():
-            chosen = [r for r in records if self._state.targets[r.target].shard in shards]
+            chosen = self._records_of(shards, SENT_PHASES)
             # An empty transfer still tells the new manager that nothing is to come.
             for start in range(0, len(chosen) or 1, RECORDS_PER_MESSAGE):
                 chunk = tuple(chosen[start : start + RECORDS_PER_MESSAGE])
@@ -113,8 +114,10 @@
                 effects.append(Notify(RecordsHandedOver(peer, len(chosen))))
         return effects
 
-    def _is_sent(self, record: FlowRecord) -> bool:
-        return record.phase in SENT_PHASES and record.target in self._state.targets
+    def _records_of(self, shards: Collection[ShardKey], phases: frozenset) -> list[FlowRecord]:
+        targets = self._state.targets.items()
+        names = [name for name, route in targets if route.shard in shards]
+        return self._state.table.records_of(names, phases)
 
     def _close_pools(self) -> list[Effect]:
         lost = {shard for shard in self._state.pools if not self._state.is_manager(shard)}
@@ -147,13 +150,11 @@
         for shard in gained:
             pool = self._state.pools[shard] = ShardAdmission(self._seed)
             pool.configure(now_ms, self._state.routes.index.shards[shard])
-        if gained:
-            for record in self._state.table.records():
-                if record.phase in COUNTED_PHASES:
-                    self._count(now_ms, record, gained)
+        for record in self._records_of(gained, COUNTED_PHASES):
+            self._count(now_ms, record)
 
-    def _count(self, now_ms: int, record: FlowRecord, gained: list[ShardKey]) -> None:
-        route = self._state.targets.get(record.target)
+    def _count(self, now_ms: int, record: FlowRecord) -> None:
         address = self._state.routes.address(record.flow)
-        if route is not None and address is not None and route.shard in gained:
-            self._state.pools[route.shard].adopt(now_ms, record, address.kind)
+        if address is not None:
+            pool = self._state.pools[self._state.targets[record.target].shard]
+            pool.adopt(now_ms, record, address.kind)
