--- a/packages/bench/src/fuchsiaspread_bench/__init__.py
+++ b/packages/bench/src/fuchsiaspread_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Measurements of the load balancer against baselines."""
--- a/packages/standins/src/fuchsiaspread_standins/__init__.py
+++ b/packages/standins/src/fuchsiaspread_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Stand-ins for what surrounds the load balancer, for tests and the demo."""
