Let load hints free adopted slots after a partition

Cause: after a healed partition a manager held slots of requests that it had adopted and whose end another manager had seen; a local site kept 16 opens waiting for about 30 s with a 20 s deadline. Change: when a target reports fewer busy slots than are counted, adopted requests are held like cancelled ones, so that two reports in a row free them; requests that this manager admitted itself are not touched.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -173,14 +173,18 @@
         """Take a target's own statement of its load as a hint.
 
         It can free the slots of cancelled requests, which the next tick gives to waiting opens,
-        and lower the target's rank; it never changes the count of requests that are running.
+        and lower the target's rank; it never changes the count of requests that this manager
+        has seen running.
         """
         load = self._view.get(target)
         if load is None:
             return
         load.note_shedding(now_ms, shed)
-        accepted_slots = load.busy_slots - load.opening_slots
-        freed = load.held.report(now_ms, accepted_slots - busy_slots)
+        apparently_free = load.busy_slots - load.opening_slots - busy_slots
+        # The end of an adopted request may have gone to its former manager.
+        for flow in self._flows.adopted_at(load, apparently_free - len(load.held)):
+            self._flows.hold(now_ms, flow)
+        freed = load.held.report(now_ms, apparently_free)
         self._flows.free_held(load, freed)
 
     def tick(self, now_ms: int) -> list[Decision]:
--- a/packages/core/src/fuchsiaspread_core/internal/admitted_flows.py
+++ b/packages/core/src/fuchsiaspread_core/internal/admitted_flows.py
@@ -168,6 +168,14 @@
             self.cancelled[flow] = running.load
         return running
 
+    def adopted_at(self, load: TargetLoad, limit: int) -> list[FlowKey]:
+        """Return some running requests of a target that another manager admitted."""
+        if limit <= 0:
+            return []
+        running = self.running.items()
+        flows = [flow for flow, one in running if one.load is load and one.is_adopted]
+        return flows[:limit]
+
     def end_held(self, flow: FlowKey) -> HeldSlot | None:
         """Free the slot of a cancelled request that the target ended; return it, or None."""
         load = self.cancelled.pop(flow, None)
--- a/packages/core/tests/core/test_admission.py
+++ b/packages/core/tests/core/test_admission.py
@@ -205,6 +205,17 @@
         self.assertEqual(self.busy(admission), {"desk-1": 3})
         self.assertIsInstance(self.offer(admission, 0, flow(9)), Enqueue)
 
+    def test_hints_free_an_adopted_slot_and_no_own_one(self) -> None:
+        """Guards against a slot that stays busy until the deadline after a healed partition."""
+        admission = self.shard(1)
+        self.admitted(admission, 0, flow(0))
+        admission.accept(0, flow(0))
+        record = FlowRecord(flow(1), TargetName("desk-1"), Phase.ESTABLISHED, 1, 2)
+        admission.adopt(0, record, REQUEST)
+        for now_ms, busy in ((10, 2), (20, 1), (30, 1), (40, 1)):
+            admission.report_load(now_ms, TargetName("desk-1"), 0, False)
+            self.assertEqual(self.busy(admission), {"desk-1": busy})
+
 
 class CancelTest(AdmissionCase):
     def cancelled(self):
