--- a/packages/bench/src/fuchsiaspread_bench/control_bytes.py
+++ b/packages/bench/src/fuchsiaspread_bench/control_bytes.py
@@ -1,6 +1,7 @@
 """Control traffic of an entry VM, idle and while flows open, in encoded bytes."""
 
 from collections import Counter
+from dataclasses import dataclass
 from statistics import median
 
 from fuchsiaspread_configuration import PeerKey
@@ -24,6 +25,7 @@
 IDLE_MS = 20_000
 LOAD_MS = 1_000
 FLOWS_PER_SECOND = 2_000 * ENTRY_COUNT
+OPENED_COUNT = FLOWS_PER_SECOND * LOAD_MS // 1000
 # A stream that sends nothing more after its first answer.
 QUIET_INTERVAL_MS = 10**6
 TARGET_BYTES_PER_SECOND = 2_000
@@ -39,6 +41,7 @@
         self._keyring = keyring
         self.control: Counter[EntryName] = Counter()
         self.copies: Counter[EntryName] = Counter()
+        self.copy_count = 0
 
     def observe(self, sender: EntryName, effect: SendToPeer | SendControl | SendRecords) -> None:
         """Count one message; records of a hand-over are no steady traffic."""
@@ -47,6 +50,7 @@
                 self.control[sender] += self._size(sender, peer, (), (message,))
             case SendToPeer(peer, RelayCopy() as relay):
                 # The packet itself would travel without the copy as well.
+                self.copy_count += 1
                 self.copies[sender] += self._size(sender, peer, (RelayedPacket(relay, b""),), ())
             case _:
                 pass
@@ -56,37 +60,55 @@
         return IP_AND_UDP_HEADER_BYTES + len(self._keyring.seal(encode_message(message)))
 
 
-def rates(fleet: Fleet, keyring: Keyring, duration_ms: int) -> tuple[float, float]:
-    """Return the most control and copy bytes a second that an entry VM sends."""
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """Hold what the busiest entry VM sends in a second, and the copies of all of them."""
+
+    control_bytes: float
+    copy_bytes: float
+    copy_count: int
+    bytes_a_copy: float
+
+
+def traffic(fleet: Fleet, keyring: Keyring, duration_ms: int) -> Traffic:
+    """Return the traffic between entry VMs while virtual time passes."""
     counter = ByteCounter(keyring)
     fleet.observe = counter.observe
     fleet.run(duration_ms)
     seconds = duration_ms / 1000
-    control = max(counter.control.values(), default=0) / seconds
-    return control, max(counter.copies.values(), default=0) / seconds
+    return Traffic(
+        max(counter.control.values(), default=0) / seconds,
+        max(counter.copies.values(), default=0) / seconds,
+        counter.copy_count,
+        counter.copies.total() / max(1, counter.copy_count),
+    )
 
 
-def measure_once(seed: int, keyring: Keyring) -> tuple[float, float, float]:
-    """Return control bytes a second idle and under load, and copy bytes under load."""
+def measure_once(seed: int, keyring: Keyring) -> tuple[Traffic, Traffic]:
+    """Return the traffic idle and while flows open."""
     _, fleet = start_site(seed, ENTRY_COUNT)
-    idle, _ = rates(fleet, keyring, IDLE_MS)
-    count = FLOWS_PER_SECOND * LOAD_MS // 1000
-    opened = callers(count, SCREENS, ORDER_DESK, True, seed, QUIET_INTERVAL_MS)
+    idle = traffic(fleet, keyring, IDLE_MS)
+    opened = callers(OPENED_COUNT, SCREENS, ORDER_DESK, True, seed, QUIET_INTERVAL_MS)
     for number, caller in enumerate(opened):
-        delay_ms = number * LOAD_MS // count
+        delay_ms = number * LOAD_MS // OPENED_COUNT
         fleet.at(delay_ms, lambda caller=caller: fleet.add_caller(caller))
-    loaded, copies = rates(fleet, keyring, LOAD_MS)
-    return idle, loaded, copies
+    return idle, traffic(fleet, keyring, LOAD_MS)
 
 
 def measure(repetitions: int) -> list[Figure]:
     """Measure control traffic; copies ride on data packets and are printed apart."""
     keyring = Keyring((PeerKey(id=1, secret=bytes(SECRET_LENGTH_BYTES)),))
     results = [measure_once(seed, keyring) for seed in range(1, repetitions + 1)]
-    idle, loaded, copies = (list(values) for values in zip(*results, strict=True))
+    loads = [loaded for _, loaded in results]
+    idle = [quiet.control_bytes for quiet, _ in results]
+    loaded = [load.control_bytes for load in loads]
     print_spread("control_bytes_idle product", "bytes/s", idle)
     print_spread("control_bytes_loaded product", "bytes/s", loaded)
-    print_spread("copy headers on data packets while loaded", "bytes/s", copies)
+    copy_bytes = [load.copy_bytes for load in loads]
+    print_spread("copy headers on data packets while loaded", "bytes/s", copy_bytes)
+    print_spread("header of a copy", "bytes", [load.bytes_a_copy for load in loads])
+    copies = [load.copy_count / OPENED_COUNT for load in loads]
+    print_spread("copies of an accepted open", "copies/flow", copies)
     figures = []
     for name, values in (("control_bytes_idle", idle), ("control_bytes_loaded", loaded)):
         value = median(values)
