Serve the users' platform with direct returns, from end to end

Cause: on the users' platform targets answer callers directly, so an entry VM sees callers' packets only, and nothing of the system lasts. The packet tunnel and the managers of today do not fit there.

Change: the core grows `direct`, a second way of carrying flows. An open goes to the least loaded target by this VM's own counts and carries a cookie derived from the target's name; the target returns it, so that any entry VM routes the flow without a record. An open without an answer after 50 ms goes to a target in another zone. The daemon's tasks stand in `fuchsiaspread_entry.direct`; `platform/` translates settings, packet heads and store entries. The public names of the core load on first use, which spares each restart the modules of the other packet path.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,11 @@
 BIN := .venv/bin
 QUICK ?= 0
 EXAMPLE := examples/empresa
-PACKAGES := core configuration entry operator standins bench
+PACKAGES := core configuration entry operator standins bench platform
 
 .PHONY: demo site test lint bench format lock messages
 
-.venv/.ready: requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml)
+.venv/.ready: requirements.lock pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check uv==0.13.9
 	$(BIN)/uv pip install --quiet --python $(BIN)/python -r requirements.lock
@@ -24,17 +24,17 @@
 	$(BIN)/python tools/run_tests.py $(PACKAGES)
 
 lint: .venv/.ready
-	$(BIN)/black --quiet --check packages tools
-	$(BIN)/ruff check --quiet packages tools
+	$(BIN)/black --quiet --check packages platform tools
+	$(BIN)/ruff check --quiet packages platform tools
 	$(BIN)/lint-imports --no-cache
 
 bench: .venv/.ready
 	QUICK=$(QUICK) $(BIN)/python -m fuchsiaspread_bench
 
 format: .venv/.ready
-	$(BIN)/black --quiet packages tools
-	$(BIN)/ruff check --quiet --fix packages tools
-	$(BIN)/black --quiet packages tools
+	$(BIN)/black --quiet packages platform tools
+	$(BIN)/ruff check --quiet --fix packages platform tools
+	$(BIN)/black --quiet packages platform tools
 
 # The exported form of the lock names each package with its hashes and no registry host.
 lock:
--- a/packages/core/src/fuchsiaspread_core/__init__.py
+++ b/packages/core/src/fuchsiaspread_core/__init__.py
@@ -1,130 +1,115 @@
-"""Coordination parts of a layer-4 load balancer, free of input and output."""
+"""Coordination parts of a layer-4 load balancer, free of input and output.
 
-from .admission import ShardAdmission
-from .configuration import (
-    AddressKind,
-    Configuration,
-    Objective,
-    RequestKind,
-    Revision,
-    Service,
-    ServiceAddress,
-    StreamKind,
-    Target,
-    TargetState,
-)
-from .control import ControlMessage, PeerRevision
-from .decisions import Admit, Decision, Decline, Enqueue, Inform, OpenFailure, OpenRequest, Refuse
-from .effects import (
-    Effect,
-    FetchParts,
-    Notify,
-    RefuseOpen,
-    SendControl,
-    SendRecords,
-    SendToCaller,
-    SendToPeer,
-    SendToTarget,
-    StopNow,
-)
-from .entry import EntryCore
-from .events import (
-    CallerData,
-    CallerOpen,
-    CallerReset,
-    ControlReceived,
-    Event,
-    LoadReported,
-    MembersPublished,
-    PartPublished,
-    PartsReceived,
-    RecordsReceived,
-    StopRequested,
-    TargetAccept,
-    TargetClose,
-    TargetData,
-    TargetReset,
-    Tick,
-)
-from .flow_table import FlowRecord, FlowTable, Phase
-from .identifiers import Endpoint, FlowKey, address_of, flow_key
-from .members import Member, MemberState
-from .membership import MembersChanged, Membership
-from .notices import FlowEnd, Notice
-from .parts import Fault, InvalidConfiguration, Part, PartName
-from .relay import Relay
-from .rendezvous import rank, rank_weighted
-from .revisions import PutInForce, RevisionStore
+A public name loads its module on first use, so that a program pays only for the parts it takes.
+"""
 
-__all__ = [
-    "AddressKind",
-    "Admit",
-    "CallerData",
-    "CallerOpen",
-    "CallerReset",
-    "Configuration",
-    "ControlMessage",
-    "ControlReceived",
-    "Decision",
-    "Decline",
-    "Effect",
-    "Endpoint",
-    "Enqueue",
-    "EntryCore",
-    "Event",
-    "Fault",
-    "FetchParts",
-    "FlowEnd",
-    "FlowKey",
-    "FlowRecord",
-    "FlowTable",
-    "Inform",
-    "InvalidConfiguration",
-    "LoadReported",
-    "Member",
-    "MemberState",
-    "MembersChanged",
-    "MembersPublished",
-    "Membership",
-    "Notice",
-    "Notify",
-    "Objective",
-    "OpenFailure",
-    "OpenRequest",
-    "Part",
-    "PartName",
-    "PartPublished",
-    "PartsReceived",
-    "PeerRevision",
-    "Phase",
-    "PutInForce",
-    "RecordsReceived",
-    "Refuse",
-    "RefuseOpen",
-    "Relay",
-    "RequestKind",
-    "Revision",
-    "RevisionStore",
-    "SendControl",
-    "SendRecords",
-    "SendToCaller",
-    "SendToPeer",
-    "SendToTarget",
-    "Service",
-    "ServiceAddress",
-    "ShardAdmission",
-    "StopNow",
-    "StopRequested",
-    "StreamKind",
-    "Target",
-    "TargetAccept",
-    "TargetClose",
-    "TargetData",
-    "TargetReset",
-    "TargetState",
-    "Tick",
-    "address_of",
-    "flow_key",
-    "rank",
-    "rank_weighted",
-]
+from importlib import import_module
+
+MODULES = {
+    "admission": ("ShardAdmission",),
+    "configuration": (
+        "AddressKind",
+        "Configuration",
+        "Objective",
+        "RequestKind",
+        "Revision",
+        "Service",
+        "ServiceAddress",
+        "StreamKind",
+        "Target",
+        "TargetState",
+    ),
+    "control": (
+        "ControlMessage",
+        "PeerRevision",
+    ),
+    "decisions": (
+        "Admit",
+        "Decision",
+        "Decline",
+        "Enqueue",
+        "Inform",
+        "OpenFailure",
+        "OpenRequest",
+        "Refuse",
+    ),
+    "effects": (
+        "Effect",
+        "FetchParts",
+        "Notify",
+        "RefuseOpen",
+        "SendControl",
+        "SendRecords",
+        "SendToCaller",
+        "SendToPeer",
+        "SendToTarget",
+        "StopNow",
+    ),
+    "entry": ("EntryCore",),
+    "events": (
+        "CallerData",
+        "CallerOpen",
+        "CallerReset",
+        "ControlReceived",
+        "Event",
+        "LoadReported",
+        "MembersPublished",
+        "PartPublished",
+        "PartsReceived",
+        "RecordsReceived",
+        "StopRequested",
+        "TargetAccept",
+        "TargetClose",
+        "TargetData",
+        "TargetReset",
+        "Tick",
+    ),
+    "flow_table": (
+        "FlowRecord",
+        "FlowTable",
+        "Phase",
+    ),
+    "identifiers": (
+        "Endpoint",
+        "FlowKey",
+        "address_of",
+        "flow_key",
+    ),
+    "members": (
+        "Member",
+        "MemberState",
+    ),
+    "membership": (
+        "MembersChanged",
+        "Membership",
+    ),
+    "notices": (
+        "FlowEnd",
+        "Notice",
+    ),
+    "parts": (
+        "Fault",
+        "InvalidConfiguration",
+        "Part",
+        "PartName",
+    ),
+    "relay": ("Relay",),
+    "rendezvous": (
+        "rank",
+        "rank_weighted",
+    ),
+    "revisions": (
+        "PutInForce",
+        "RevisionStore",
+    ),
+}
+MODULE_OF = {name: module for module, names in MODULES.items() for name in names}
+
+__all__ = sorted(MODULE_OF)
+
+
+def __getattr__(name: str) -> object:
+    """Return a public name from its module."""
+    if name not in MODULE_OF:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f".{MODULE_OF[name]}", __name__), name)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/events.py
@@ -0,0 +1,94 @@
+"""Events that the direct core takes.
+
+Packets are opaque to the core: it decides on what the front end reports about them.
+"""
+
+from dataclasses import dataclass
+
+from ..identifiers import FlowKey, TargetName
+from .routes import RouteSet
+from .targets import PublishedTarget
+
+
+@dataclass(frozen=True, slots=True)
+class OpenPacket:
+    """Report a caller's packet that opens a flow (SYN); `copy_number` is 0 for the first one."""
+
+    flow: FlowKey
+    copy_number: int
+    packet: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FlowPacket:
+    """Report a caller's packet on an open flow.
+
+    `cookie` is the value that the entry VM wrote into the open and that the target returned.
+    """
+
+    flow: FlowKey
+    cookie: int
+    sequence: int
+    acknowledges: int
+    data_bytes: int
+    is_reset: bool
+    is_last: bool
+    packet: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesPublished:
+    """Report a configuration version that the store holds."""
+
+    routes: RouteSet
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """Report all targets that the store holds."""
+
+    targets: tuple[PublishedTarget, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class TargetPublished:
+    """Report a target that is new or changed in the store."""
+
+    target: PublishedTarget
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRemoved:
+    """Report a target whose entry the store no longer holds."""
+
+    name: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReached:
+    """Report whether the store answers this entry VM."""
+
+    is_reachable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StopRequested:
+    """Ask for a graceful stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Report that time has passed."""
+
+
+DirectEvent = (
+    OpenPacket
+    | FlowPacket
+    | RoutesPublished
+    | TargetsListed
+    | TargetPublished
+    | TargetRemoved
+    | StoreReached
+    | StopRequested
+    | Tick
+)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -0,0 +1,141 @@
+"""The flows that pass this entry VM; losing a record loses only load and health evidence."""
+
+from collections.abc import Iterator
+from enum import StrEnum
+
+from ..identifiers import FlowKey, TargetName
+from .routes import Route
+from .targets import KnownTarget
+
+SEQUENCE_MASK = 2**32 - 1
+SEQUENCE_HALF = 2**31
+# One tick looks at this many records at most for those that are no longer used.
+CHECKS_PER_TICK = 500
+
+
+class FlowPhase(StrEnum):
+    """Name the phases of a flow as its caller's packets show them."""
+
+    OPENING = "opening"
+    OPEN = "open"
+
+
+class Flow:
+    """Hold what the caller's packets of one flow have shown."""
+
+    __slots__ = (
+        "acknowledged",
+        "attempt_ms",
+        "busy_since_ms",
+        "copies",
+        "key",
+        "open_packet",
+        "phase",
+        "repeats",
+        "route",
+        "seen_ms",
+        "sent_end",
+        "target",
+        "tried",
+    )
+
+    def __init__(self, key: FlowKey, route: Route, now_ms: int) -> None:
+        self.key = key
+        self.route = route
+        self.phase = FlowPhase.OPENING
+        self.target: KnownTarget | None = None
+        self.tried: list[TargetName] = []
+        self.open_packet = b""
+        self.copies = 0
+        self.attempt_ms = now_ms
+        self.seen_ms = now_ms
+        self.busy_since_ms: int | None = None
+        self.sent_end: int | None = None
+        self.acknowledged = 0
+        self.repeats = 0
+
+    def is_repeated_by(self, copy_number: int, packet: bytes) -> bool:
+        """Return whether an open needs no further target: a duplicate, or a late copy."""
+        match self.phase:
+            case FlowPhase.OPENING:
+                return packet == self.open_packet
+            case FlowPhase.OPEN:
+                return copy_number > 0
+
+    def is_waiting_since(self, attempt_ms: int) -> bool:
+        """Return whether the attempt of that moment is the last one and still unanswered."""
+        return self.phase is FlowPhase.OPENING and self.attempt_ms == attempt_ms
+
+    def assign(self, target: KnownTarget) -> None:
+        """Count the flow at a target, no longer at a former one."""
+        if self.target is target:
+            return
+        is_busy = self.busy_since_ms is not None
+        if self.target is not None:
+            self.target.open_flows -= 1
+            self.target.busy_requests -= is_busy
+        target.open_flows += 1
+        target.busy_requests += is_busy
+        self.target = target
+
+    def begin_request(self, now_ms: int) -> None:
+        """Note that the target has work of this flow."""
+        if self.busy_since_ms is None and self.target is not None:
+            self.target.busy_requests += 1
+            self.busy_since_ms = now_ms
+
+    def end_request(self) -> None:
+        """Note that the target's work of this flow is over."""
+        if self.busy_since_ms is not None and self.target is not None:
+            self.target.busy_requests -= 1
+            self.busy_since_ms = None
+
+    def release(self) -> None:
+        """Take the flow off its target's counts."""
+        self.end_request()
+        if self.target is not None:
+            self.target.open_flows -= 1
+            self.target = None
+
+
+def is_after(position: int, other: int) -> bool:
+    """Return whether one position of the 32-bit sequence space comes after another."""
+    return 0 < (position - other) & SEQUENCE_MASK < SEQUENCE_HALF
+
+
+class FlowRecords:
+    """Hold the flows by key and find those that are no longer used."""
+
+    def __init__(self) -> None:
+        self._flows: dict[FlowKey, Flow] = {}
+        self._to_check: list[FlowKey] = []
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, key: FlowKey) -> Flow | None:
+        """Return a flow, or None."""
+        return self._flows.get(key)
+
+    def add(self, key: FlowKey, route: Route, now_ms: int) -> Flow:
+        """Begin a record; a former one of the same key ends."""
+        self.remove(key)
+        flow = self._flows[key] = Flow(key, route, now_ms)
+        return flow
+
+    def remove(self, key: FlowKey) -> None:
+        """End a record."""
+        flow = self._flows.pop(key, None)
+        if flow is not None:
+            flow.release()
+
+    def next_checked(self) -> Iterator[Flow]:
+        """Return a bounded number of flows; successive calls go round all of them."""
+        if not self._to_check:
+            self._to_check = list(self._flows)
+        checked = self._to_check[-CHECKS_PER_TICK:]
+        del self._to_check[-CHECKS_PER_TICK:]
+        for key in checked:
+            flow = self._flows.get(key)
+            if flow is not None:
+                yield flow
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -0,0 +1,123 @@
+"""Notices of the direct core, for logs and counters."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..identifiers import FlowKey, ServiceName, TargetName
+
+
+class OpenRefusal(StrEnum):
+    """Name why an open was refused."""
+
+    NO_ROUTE = "no_route"
+    NO_TARGET = "no_target"
+
+
+class ResetReason(StrEnum):
+    """Name why an open flow was reset."""
+
+    ROUTE_REMOVED = "route_removed"
+    TARGET_GONE = "target_gone"
+    TARGET_SILENT = "target_silent"
+
+
+class DropReason(StrEnum):
+    """Name why a packet was dropped."""
+
+    UNKNOWN_COOKIE = "unknown_cookie"
+    NOT_CONFIGURED = "not_configured"
+    LATE_OPEN = "late_open"
+    NO_OTHER_TARGET = "no_other_target"
+
+
+@dataclass(frozen=True, slots=True)
+class OpenPlaced:
+    """Tell which target an open was sent to and what decided it."""
+
+    flow: FlowKey
+    service: ServiceName
+    route: str
+    version: int
+    target: TargetName
+    attempt: int
+    busy_requests: int
+    open_flows: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenRefused:
+    """Tell that an open was refused before any target saw it."""
+
+    flow: FlowKey
+    reason: OpenRefusal
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class FlowReset:
+    """Tell that an open flow was reset towards its caller."""
+
+    flow: FlowKey
+    target: TargetName
+    reason: ResetReason
+
+
+@dataclass(frozen=True, slots=True)
+class PacketDropped:
+    """Tell that a packet was dropped."""
+
+    flow: FlowKey
+    reason: DropReason
+
+
+@dataclass(frozen=True, slots=True)
+class TargetSuspected:
+    """Tell that a target stopped answering and gets new flows only when no other can."""
+
+    target: TargetName
+    silent_opens: int
+    pause_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCleared:
+    """Tell that a suspected target answers again."""
+
+    target: TargetName
+
+
+@dataclass(frozen=True, slots=True)
+class TargetChanged:
+    """Tell that what the store says of a target changed."""
+
+    target: TargetName
+    service: ServiceName
+    change: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesInForce:
+    """Tell that a configuration version is in force."""
+
+    version: int
+    route_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class PauseSeen:
+    """Tell that the process stood still; opens that waited meanwhile are dropped."""
+
+    gap_ms: int
+
+
+DirectNotice = (
+    OpenPlaced
+    | OpenRefused
+    | FlowReset
+    | PacketDropped
+    | TargetSuspected
+    | TargetCleared
+    | TargetChanged
+    | RoutesInForce
+    | PauseSeen
+)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -0,0 +1,49 @@
+"""Choice of the target of a new flow."""
+
+from collections.abc import Collection
+
+from ..identifiers import FlowKey, TargetName, ZoneName
+from ..rendezvous import rank
+from .targets import KnownTarget, TargetDirectory
+
+# An open flow without a request adds this much of a busy request to a target's load: long flows
+# bring a request every few seconds.
+OPEN_FLOW_LOAD = 0.02
+
+
+class Placement:
+    """Choose the least loaded target, as far as this entry VM can see."""
+
+    def __init__(self, targets: TargetDirectory, salt: bytes) -> None:
+        self._targets = targets
+        self._salt = salt
+
+    def choose(
+        self,
+        now_ms: int,
+        flow: FlowKey,
+        candidates: Collection[KnownTarget],
+        tried: Collection[TargetName] = (),
+        avoided_zones: Collection[ZoneName] = (),
+    ) -> KnownTarget | None:
+        """Return the target for an open, or None; suspects come after all others."""
+        usable = [
+            known
+            for known in candidates
+            if known.name not in tried
+            and known.may_open(now_ms)
+            and self._targets.has_own_cookie(known)
+        ]
+        if not usable:
+            return None
+        preferred = [known for known in usable if known.health.is_preferred(now_ms)] or usable
+        reachable = [known for known in preferred if known.published.zone not in avoided_zones]
+        loads = [(self.load(now_ms, known), known) for known in reachable or preferred]
+        least = min(load for load, _ in loads)
+        tied = {known.name: known for load, known in loads if load == least}
+        return tied[rank(self._salt + flow, tied)[0]]
+
+    def load(self, now_ms: int, known: KnownTarget) -> float:
+        """Return the load of a target after one more open, in requests a slot."""
+        busy = known.busy_requests + known.peer_busy_requests + 1
+        return (busy + OPEN_FLOW_LOAD * known.open_flows) / known.capacity(now_ms)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/routes.py
@@ -0,0 +1,60 @@
+"""Routes: which service takes the new flows of an address."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from ..identifiers import AddressKey, FlowKey, ServiceName
+from ..rendezvous import rank_weighted
+
+
+class RouteKind(StrEnum):
+    """Tell what the requests inside a route's flows permit."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    UPLOAD = "upload"
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    """Name a service and its share of a route's new flows."""
+
+    service: ServiceName
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Describe one address and where its new flows go."""
+
+    name: str
+    address: AddressKey
+    kind: RouteKind
+    destinations: tuple[Destination, ...]
+    timeout_ms: int
+    latency_objective_ms: int
+
+    def service_for(self, flow: FlowKey) -> ServiceName:
+        """Return the service of a new flow; copies of one open get the same service."""
+        if len(self.destinations) == 1:
+            return self.destinations[0].service
+        weights = {one.service: one.weight for one in self.destinations}
+        return rank_weighted(flow, weights)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class RouteSet:
+    """Hold the routes of one configuration version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    idle_timeout_ms: int
+    by_address: dict[AddressKey, Route] = field(init=False, compare=False, repr=False)
+
+    def __post_init__(self) -> None:
+        by_address = {route.address: route for route in self.routes}
+        object.__setattr__(self, "by_address", by_address)
+
+    def find(self, address: AddressKey) -> Route | None:
+        """Return the route of an address, or None."""
+        return self.by_address.get(address)
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -0,0 +1,202 @@
+"""The targets that the store names, found by name, by cookie and by service."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+
+from xxhash import xxh3_64_intdigest
+
+from ..identifiers import Endpoint, ServiceName, TargetName, ZoneName
+from .target_health import TargetHealth
+
+# The field of a packet that carries the cookie has 32 bits. 0 marks a packet without a cookie.
+COOKIE_MASK = 2**32 - 1
+# A store that was away loses the entries of targets that live; they are back within 2 s.
+REMOVAL_GRACE_MS = 2_200
+# A target that has just started is about this much slower.
+COLD_FACTOR = 1.6
+
+
+class TargetPhase(StrEnum):
+    """Tell what the store says of a target."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedTarget:
+    """Describe a target as the store names it.
+
+    `started_ms` is the target's own wall-clock start, which tells two starts under one name apart.
+    """
+
+    name: TargetName
+    service: ServiceName
+    endpoint: Endpoint
+    zone: ZoneName
+    slots: int
+    phase: TargetPhase
+    cold_ms: int
+    started_ms: int
+
+
+def cookie_of(name: TargetName) -> int:
+    """Return the cookie of a target; each entry VM derives the same one without talk."""
+    return xxh3_64_intdigest(name.encode()) & COOKIE_MASK or 1
+
+
+class KnownTarget:
+    """Hold what the store says of a target and what this entry VM has seen of it."""
+
+    __slots__ = (
+        "busy_requests",
+        "cold_until_ms",
+        "cookie",
+        "health",
+        "open_flows",
+        "peer_busy_requests",
+        "phase_since_ms",
+        "published",
+    )
+
+    def __init__(self, published: PublishedTarget, cookie: int, now_ms: int) -> None:
+        self.published = published
+        self.cookie = cookie
+        self.health = TargetHealth()
+        self.busy_requests = 0
+        self.open_flows = 0
+        self.peer_busy_requests = 0
+        self.phase_since_ms = now_ms
+        self.cold_until_ms = now_ms + published.cold_ms
+
+    @property
+    def name(self) -> TargetName:
+        """Return the target's name."""
+        return self.published.name
+
+    def update(self, now_ms: int, published: PublishedTarget) -> None:
+        """Take a changed entry."""
+        if published.phase is not self.published.phase:
+            self.phase_since_ms = now_ms
+        if published.started_ms != self.published.started_ms:
+            self.health = TargetHealth()
+        self.published = published
+        self.cold_until_ms = now_ms + published.cold_ms
+
+    def may_open(self, now_ms: int) -> bool:
+        """Return whether the target may receive new flows at all."""
+        match self.published.phase:
+            case TargetPhase.READY:
+                return True
+            case TargetPhase.DRAINING:
+                return False
+            case TargetPhase.REMOVED:
+                return now_ms - self.phase_since_ms < REMOVAL_GRACE_MS
+
+    def is_gone(self, now_ms: int) -> bool:
+        """Return whether the target's entry is missing for too long to come back."""
+        is_removed = self.published.phase is TargetPhase.REMOVED
+        return is_removed and now_ms - self.phase_since_ms >= REMOVAL_GRACE_MS
+
+    def capacity(self, now_ms: int) -> float:
+        """Return the slots, fewer while the target is still slow after its start."""
+        slots = float(max(1, self.published.slots))
+        return slots / COLD_FACTOR if now_ms < self.cold_until_ms else slots
+
+
+class TargetDirectory:
+    """Find targets; removed ones stay known for as long as a flow to them may live."""
+
+    def __init__(self, kept_ms: int) -> None:
+        self._kept_ms = kept_ms
+        self._by_name: dict[TargetName, KnownTarget] = {}
+        self._by_cookie: dict[int, KnownTarget] = {}
+        self._by_service: dict[ServiceName, list[KnownTarget]] = {}
+
+    def __iter__(self) -> Iterator[KnownTarget]:
+        return iter(self._by_name.values())
+
+    def by_name(self, name: TargetName) -> KnownTarget | None:
+        """Return the target of a name, or None."""
+        return self._by_name.get(name)
+
+    def by_cookie(self, cookie: int) -> KnownTarget | None:
+        """Return the target of a cookie, or None."""
+        return self._by_cookie.get(cookie)
+
+    def of_service(self, service: ServiceName) -> list[KnownTarget]:
+        """Return the targets of a service, removed ones included."""
+        return self._by_service.get(service, [])
+
+    def put(self, now_ms: int, published: PublishedTarget) -> bool:
+        """Take an entry; return whether it says something new."""
+        known = self._by_name.get(published.name)
+        if known is None:
+            self._add(now_ms, published)
+            return True
+        if known.published == published:
+            return False
+        service = known.published.service
+        known.update(now_ms, published)
+        if service != published.service:
+            self._by_service[service].remove(known)
+            self._by_service.setdefault(published.service, []).append(known)
+        return True
+
+    def remove(self, now_ms: int, name: TargetName) -> bool:
+        """Note that an entry is gone; return whether that is news."""
+        known = self._by_name.get(name)
+        if known is None or known.published.phase is TargetPhase.REMOVED:
+            return False
+        was_draining = known.published.phase is TargetPhase.DRAINING
+        published = known.published
+        known.update(
+            now_ms,
+            PublishedTarget(
+                name=published.name,
+                service=published.service,
+                endpoint=published.endpoint,
+                zone=published.zone,
+                slots=published.slots,
+                phase=TargetPhase.REMOVED,
+                cold_ms=0,
+                started_ms=published.started_ms,
+            ),
+        )
+        if was_draining:
+            # It announced its end, so no outage of the store explains the missing entry.
+            known.phase_since_ms = now_ms - REMOVAL_GRACE_MS
+        return True
+
+    def missing_from(self, names: Iterable[TargetName]) -> list[TargetName]:
+        """Return the names of present targets that a complete list leaves out."""
+        listed = set(names)
+        return [
+            name
+            for name, known in self._by_name.items()
+            if name not in listed and known.published.phase is not TargetPhase.REMOVED
+        ]
+
+    def forget_old(self, now_ms: int) -> None:
+        """Drop removed targets that no flow can use any more."""
+        for known in list(self._by_name.values()):
+            if known.is_gone(now_ms) and now_ms - known.phase_since_ms > self._kept_ms:
+                del self._by_name[known.name]
+                if self._by_cookie.get(known.cookie) is known:
+                    del self._by_cookie[known.cookie]
+                self._by_service[known.published.service].remove(known)
+
+    def _add(self, now_ms: int, published: PublishedTarget) -> None:
+        known = KnownTarget(published, cookie_of(published.name), now_ms)
+        self._by_name[published.name] = known
+        other = self._by_cookie.get(known.cookie)
+        # Every entry VM must resolve a cookie alike, whatever the order in which entries came.
+        if other is None or published.name < other.name:
+            self._by_cookie[known.cookie] = known
+        self._by_service.setdefault(published.service, []).append(known)
+
+    def has_own_cookie(self, known: KnownTarget) -> bool:
+        """Return whether a target's cookie leads to it; otherwise it gets no new flows."""
+        return self._by_cookie.get(known.cookie) is known
--- /dev/null
+++ b/packages/core/tests/direct/test_opens.py
@@ -0,0 +1,127 @@
+"""Placement of opens, and their retries."""
+
+import unittest
+
+from fuchsiaspread_core.direct import (
+    ForwardOpen,
+    ResetCaller,
+    RoutesPublished,
+    TargetPhase,
+    TargetPublished,
+    TargetRemoved,
+    Tick,
+)
+from fuchsiaspread_core.direct.notices import OpenRefusal, OpenRefused, TargetSuspected
+
+from .site import (
+    CARD_ADDRESS,
+    FEED_ADDRESS,
+    INSPECTION,
+    SCAN_ADDRESS,
+    Site,
+    flow_of,
+    flow_packet,
+    open_packet,
+    routes,
+    target,
+)
+
+
+class OpensTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.site = Site()
+
+    def test_open_goes_to_a_target_of_the_route_s_service(self) -> None:
+        """Guards against an open that reaches another service."""
+        self.assertEqual(self.site.open(1, SCAN_ADDRESS).target, target(9, INSPECTION).name)
+
+    def test_opens_are_spread_over_all_targets(self) -> None:
+        """Guards against opens that pile up on one target while others are idle."""
+        used = {self.site.open(number).target for number in range(6)}
+        self.assertEqual(len(used), 6)
+
+    def test_busy_targets_are_passed_over(self) -> None:
+        """Guards against a second request at a target while another has none."""
+        for number in range(5):
+            self.site.answer(number, self.site.open(number).cookie)
+            self.site.take(flow_packet(number, self.site.open(number + 50).cookie, data_bytes=9))
+        loads = {known.name: known.busy_requests for known in self.site.core.targets}
+        self.assertLessEqual(max(loads.values()), 2)
+
+    def test_duplicated_open_is_sent_once(self) -> None:
+        """Guards against a second connection when the network duplicates an open."""
+        self.site.open(1)
+        self.assertEqual(self.site.take(open_packet(1)), [])
+
+    def test_unanswered_open_goes_to_a_target_in_another_zone(self) -> None:
+        """Guards against callers that wait for a dead target or behind a partition."""
+        first = self.site.open(1)
+        self.assertEqual(self.site.take(Tick(), 40), [])
+        (second,) = self.site.take(Tick(), 20)
+        assert isinstance(second, ForwardOpen)
+        zones = {one.name: one.zone for one in self.site.targets}
+        self.assertNotEqual(zones[first.target], zones[second.target])
+
+    def test_answered_open_is_not_sent_again(self) -> None:
+        """Guards against a second connection for an open that a target accepted."""
+        self.site.answer(1, self.site.open(1).cookie)
+        self.assertEqual(self.site.take(Tick(), 60), [])
+
+    def test_late_copy_of_an_answered_open_is_dropped(self) -> None:
+        """Guards against a second connection by a copy that the network delayed."""
+        self.site.answer(1, self.site.open(1).cookie)
+        self.assertEqual(self.site.take(open_packet(1, FEED_ADDRESS, 1), 10), [])
+
+    def test_silent_target_gets_no_opens_while_others_answer(self) -> None:
+        """Guards against sending one open after another to a dead target."""
+        dead = self.site.open(1).target
+        notices = self.site.notices(Tick(), 60)
+        self.assertIn(TargetSuspected(dead, 1, 500), notices)
+        for number in range(2, 12):
+            self.assertNotEqual(self.site.open(number).target, dead)
+
+    def test_retries_are_bounded_when_no_target_answers(self) -> None:
+        """Guards against retries that multiply the opens of an outage."""
+        sent = 0
+        for number in range(200):
+            sent += len(self.site.take(open_packet(number)))
+            sent += len(self.site.take(Tick(), 60))
+        self.assertLess(sent, 200 * 1.2 + 20)
+
+    def test_open_without_a_route_is_refused_at_once(self) -> None:
+        """Guards against silence where the caller could be told."""
+        self.site.take(RoutesPublished(routes(2, without=["card"])))
+        flow = flow_of(1, CARD_ADDRESS)
+        self.assertEqual(self.site.take(open_packet(1, CARD_ADDRESS)), [ResetCaller(flow, 0)])
+        notices = self.site.notices(open_packet(1, CARD_ADDRESS))
+        self.assertEqual(notices, [OpenRefused(flow, OpenRefusal.NO_ROUTE, 2)])
+
+    def test_open_without_a_target_is_refused_at_once(self) -> None:
+        """Guards against holding an open that no target can take."""
+        self.site.take(TargetRemoved(target(9, INSPECTION).name))
+        self.site.take(Tick(), 2_500)
+        flow = flow_of(1, SCAN_ADDRESS)
+        self.assertEqual(self.site.take(open_packet(1, SCAN_ADDRESS)), [ResetCaller(flow, 0)])
+
+    def test_draining_target_gets_no_opens(self) -> None:
+        """Guards against new work for a target that is about to leave."""
+        leaving = target(1, phase=TargetPhase.DRAINING)
+        self.site.take(TargetPublished(leaving))
+        used = {self.site.open(number).target for number in range(30)}
+        self.assertNotIn(leaving.name, used)
+
+    def test_removed_target_is_used_only_while_it_may_come_back(self) -> None:
+        """Guards against an outage of the store that empties the list of targets."""
+        self.site.take(TargetRemoved(target(9, INSPECTION).name))
+        self.assertEqual(self.site.open(1, SCAN_ADDRESS).target, target(9).name)
+
+    def test_older_version_does_not_replace_a_newer_one(self) -> None:
+        """Guards against a late answer of the store that takes a route away again."""
+        self.site.take(RoutesPublished(routes(5)))
+        self.site.take(RoutesPublished(routes(4, without=["feed"])))
+        self.site.open(1)
+
+    def test_waiting_opens_are_forgotten_after_a_pause(self) -> None:
+        """Guards against suspecting every target after the process stood still."""
+        self.site.open(1)
+        self.assertEqual(self.site.take(Tick(), 4_000), [])
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -0,0 +1,89 @@
+"""Task that owns the direct core and its timer."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from fuchsiaspread_core.direct import (
+    DirectCore,
+    DirectEffect,
+    DirectEvent,
+    Notify,
+    StopRequested,
+    Tick,
+)
+
+from .messages import DirectMailboxes, EventsReceived, PacketsReady, ReadinessChanged
+from .notice_log import NoticeLog
+
+TICK_INTERVAL_MS = 200
+MS_PER_SECOND = 1000
+
+
+class CoreTask:
+    """Hand events to the core and carry its effects to the other tasks."""
+
+    def __init__(
+        self,
+        core: DirectCore,
+        mailboxes: DirectMailboxes,
+        notices: NoticeLog,
+        now_ms: Callable[[], int],
+        on_stop: Callable[[], None],
+    ) -> None:
+        self._core = core
+        self._mailbox = mailboxes.core
+        self._packets = mailboxes.packets
+        self._readiness = mailboxes.readiness
+        self._notices = notices
+        self._now_ms = now_ms
+        self._on_stop = on_stop
+        self._is_ready = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_ms = 0
+
+    async def run(self) -> None:
+        """Handle messages until cancelled."""
+        try:
+            while True:
+                self._set_timer()
+                for message in await self._mailbox.take():
+                    self._handle(message.events)
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def _handle(self, events: Sequence[DirectEvent]) -> None:
+        sent: list[DirectEffect] = []
+        now_ms = self._now_ms()
+        for event in events:
+            for effect in self._core.handle(now_ms, event):
+                match effect:
+                    case Notify(notice=notice):
+                        self._notices.write(notice)
+                    case _:
+                        sent.append(effect)
+            if isinstance(event, StopRequested):
+                self._on_stop()
+        if sent:
+            self._packets.put(PacketsReady(sent))
+        if self._core.is_ready != self._is_ready:
+            self._is_ready = self._core.is_ready
+            self._notices.write_readiness(self._is_ready)
+            self._readiness.put(ReadinessChanged(self._is_ready))
+
+    def _set_timer(self) -> None:
+        """Wake up for the next waiting open, or after the tick interval."""
+        now_ms = self._now_ms()
+        due_ms = self._core.deadline_ms
+        if self._timer is not None and self._timer_ms > now_ms:
+            if due_ms is None or due_ms >= self._timer_ms:
+                return
+            self._timer.cancel()
+        interval_ms = now_ms + TICK_INTERVAL_MS
+        self._timer_ms = interval_ms if due_ms is None else min(due_ms, interval_ms)
+        delay_s = max(0, self._timer_ms - now_ms) / MS_PER_SECOND
+        self._timer = asyncio.get_running_loop().call_later(delay_s, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._mailbox.put(EventsReceived([Tick()]))
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -0,0 +1,78 @@
+"""The tasks of one direct entry VM, put together."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from fuchsiaspread_core.direct import DirectCore, StopRequested
+
+from ..internal.clock import now_ms
+from ..internal.log import Level, Log
+from .core_task import CoreTask
+from .messages import DirectMailboxes, EventsReceived
+from .notice_log import NoticeLog
+from .packet_task import PacketCodec, PacketTask
+from .published_store import PublishedKeys
+from .readiness_task import ReadinessTask
+from .settings import DirectSettings
+from .store_task import StoreTask
+
+MS_PER_SECOND = 1000
+SEED_RANGE = 2**63
+# The fabric notices within two probes, one each half second, that this VM leaves.
+LEAVE_S = 1.6
+
+
+class DirectDaemon:
+    """Run the tasks of one entry VM until it is told to stop.
+
+    Errors: OSError when an address of the settings cannot be bound.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        codec: PacketCodec,
+        groups: Sequence[PublishedKeys],
+        log: Log,
+    ) -> None:
+        self._log = log
+        self._mailboxes = mailboxes = DirectMailboxes()
+        self._stopped = asyncio.Event()
+        # Equal choices among equally loaded targets would send all entry VMs to the same one.
+        seed = random.SystemRandom().randrange(SEED_RANGE)
+        self._packets = PacketTask(settings.packets, codec, mailboxes, log)
+        self._readiness = ReadinessTask(settings.readiness, settings.readiness_path, mailboxes)
+        self._store = StoreTask(groups, seed, mailboxes, log)
+        core = DirectCore(seed, settings.flow_lifetime_ms)
+        self._core = CoreTask(core, mailboxes, NoticeLog(log), now_ms, self._leave)
+
+    async def run(self) -> bool:
+        """Run the tasks until stopped; return False when a task failed instead."""
+        parts = (self._readiness, self._packets, self._core, self._store)
+        tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
+        stopped = asyncio.create_task(self._stopped.wait())
+        try:
+            # A task that ends by an error ends the daemon: a part of it would only look alive.
+            await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (stopped, *tasks):
+                task.cancel()
+            outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+        is_graceful = True
+        for task, outcome in zip(tasks, outcomes, strict=True):
+            if isinstance(outcome, Exception):
+                is_graceful = False
+                self._log.write(
+                    Level.ERROR, "task_failed", task=task.get_name(), cause=repr(outcome)
+                )
+        return is_graceful
+
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._log.write(Level.INFO, "stop_requested")
+        self._mailboxes.core.put(EventsReceived([StopRequested()]))
+
+    def _leave(self) -> None:
+        # Packets that still come are carried until the fabric sends no more.
+        asyncio.get_running_loop().call_later(LEAVE_S, self._stopped.set)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/messages.py
@@ -0,0 +1,45 @@
+"""Messages between the tasks of the direct daemon, and their mailboxes."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from fuchsiaspread_core.direct import DirectEffect, DirectEvent
+
+from ..internal.mailbox import Mailbox
+
+# About a second of packets at full rate; later ones would be too late for their callers.
+MAILBOX_LIMIT = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class EventsReceived:
+    """Hand events to the core task."""
+
+    events: Sequence[DirectEvent]
+
+
+@dataclass(frozen=True, slots=True)
+class PacketsReady:
+    """Hand effects that send packets to the packet task."""
+
+    effects: Sequence[DirectEffect]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadinessChanged:
+    """Tell the readiness task what to answer."""
+
+    is_ready: bool
+
+
+def _mailbox() -> Mailbox:
+    return Mailbox(MAILBOX_LIMIT)
+
+
+@dataclass(frozen=True, slots=True)
+class DirectMailboxes:
+    """Hold one mailbox for each task of the daemon."""
+
+    core: Mailbox[EventsReceived] = field(default_factory=_mailbox)
+    packets: Mailbox[PacketsReady] = field(default_factory=_mailbox)
+    readiness: Mailbox[ReadinessChanged] = field(default_factory=_mailbox)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -0,0 +1,51 @@
+"""Log lines of the direct core's notices."""
+
+from dataclasses import fields
+
+from fuchsiaspread_core.direct.notices import (
+    DirectNotice,
+    FlowReset,
+    OpenPlaced,
+    OpenRefused,
+    PacketDropped,
+    PauseSeen,
+    RoutesInForce,
+    TargetChanged,
+    TargetCleared,
+    TargetSuspected,
+)
+from fuchsiaspread_core.identifiers import describe_flow
+
+from ..internal.log import Level, Log
+
+# Event name and level of each notice; the fields are the notice's own.
+LINES: dict[type, tuple[str, Level]] = {
+    OpenPlaced: ("open_placed", Level.INFO),
+    OpenRefused: ("open_refused", Level.INFO),
+    FlowReset: ("flow_reset", Level.INFO),
+    PacketDropped: ("packet_dropped", Level.INFO),
+    TargetSuspected: ("target_suspected", Level.WARNING),
+    TargetCleared: ("target_cleared", Level.INFO),
+    TargetChanged: ("target_changed", Level.INFO),
+    RoutesInForce: ("routes_in_force", Level.INFO),
+    PauseSeen: ("pause_seen", Level.WARNING),
+}
+
+
+class NoticeLog:
+    """Write notices as log lines."""
+
+    def __init__(self, log: Log) -> None:
+        self._log = log
+
+    def write(self, notice: DirectNotice) -> None:
+        """Write one notice."""
+        event, level = LINES[type(notice)]
+        values = {field.name: getattr(notice, field.name) for field in fields(notice)}
+        if "flow" in values:
+            values["flow"] = describe_flow(values["flow"])
+        self._log.write(level, event, **values)
+
+    def write_readiness(self, is_ready: bool) -> None:
+        """Write that the readiness changed."""
+        self._log.write(Level.INFO, "readiness_changed", is_ready=is_ready)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/published_store.py
@@ -0,0 +1,39 @@
+"""What the direct daemon needs of the store that publishes routes and targets."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from fuchsiaspread_core.direct import DirectEvent
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """Hold what a read or a watch told, and the revision at which a watch goes on."""
+
+    events: tuple[DirectEvent, ...]
+    revision: int
+    problems: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """Tell that the changes since a revision are no longer held."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """Tell that the store did not answer, or not with what was asked."""
+
+    cause: str
+
+
+class PublishedKeys(Protocol):
+    """Read one group of keys of the store: the routes, or the targets."""
+
+    name: str
+
+    async def read(self) -> Published | StoreFailed:
+        """Return all keys of the group."""
+
+    async def watch(self, revision: int) -> Published | HistoryLost | StoreFailed:
+        """Return the changes after a revision, without events when the wait ended."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/settings.py
@@ -0,0 +1,18 @@
+"""Settings of the direct daemon."""
+
+from dataclasses import dataclass
+
+from fuchsiaspread_core.identifiers import Endpoint, EntryName, ZoneName
+
+
+@dataclass(frozen=True, slots=True)
+class DirectSettings:
+    """Describe one entry VM of a deployment with direct returns."""
+
+    name: EntryName
+    zone: ZoneName
+    packets: Endpoint
+    readiness: Endpoint
+    readiness_path: str
+    flow_lifetime_ms: int
+    stop_grace_ms: int
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,6 +10,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 RESULT_MARK = "run_tests.result="
+# The one package beside the folder of packages.
+PLATFORM = "platform"
 
 
 @dataclass(slots=True)
@@ -32,7 +34,8 @@
 
 def run_package(package: str) -> int:
     """Run the tests of one package in this process and print the outcome as JSON."""
-    tests = ROOT / "packages" / package / "tests"
+    parent = ROOT if package == PLATFORM else ROOT / "packages"
+    tests = parent / package / "tests"
     suite = unittest.TestLoader().discover(str(tests), top_level_dir=str(tests))
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
     # A failing subtest reports itself; its test case counts once.
