Check targets in doubt and reset callers of targets out of reach

Opens found out about each target one by one, and the retry budget ran out. Change: a silent open, or a repeated request without any answer of the target since, puts the target in doubt; a TCP connection settles it. Targets out of reach get no opens, their zone is checked too, and idempotent requests that wait for them are reset, so that their callers repeat them. A target whose address has a new owner counts as gone. Opens may use half as many retries as there are opens. A record that begins with a packet in the middle of a flow no longer counts as an answer of the target.

--- a/packages/core/src/fuchsiaspread_core/direct/__init__.py
+++ b/packages/core/src/fuchsiaspread_core/direct/__init__.py
@@ -1,14 +1,16 @@
 """Decisions for flows whose targets answer callers directly (direct server return)."""
 
 from .core import DirectCore
-from .effects import DirectEffect, ForwardOpen, ForwardPacket, Notify, ResetCaller
+from .effects import CheckTarget, DirectEffect, ForwardOpen, ForwardPacket, Notify, ResetCaller
 from .events import (
+    CheckOutcome,
     DirectEvent,
     FlowPacket,
     OpenPacket,
     RoutesPublished,
     StopRequested,
     StoreReached,
+    TargetChecked,
     TargetPublished,
     TargetRemoved,
     TargetsListed,
@@ -18,6 +20,8 @@
 from .targets import PublishedTarget, TargetPhase
 
 __all__ = [
+    "CheckOutcome",
+    "CheckTarget",
     "Destination",
     "DirectCore",
     "DirectEffect",
@@ -35,6 +39,7 @@
     "RoutesPublished",
     "StopRequested",
     "StoreReached",
+    "TargetChecked",
     "TargetPhase",
     "TargetPublished",
     "TargetRemoved",
--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -3,16 +3,18 @@
 from collections.abc import Sequence
 from typing import assert_never
 
-from ..identifiers import address_of
+from ..identifiers import TargetName, address_of
 from ..internal.retry_budget import RetryBudget
 from .effects import DirectEffect, ForwardOpen, ForwardPacket, Notify, ResetCaller
 from .events import (
+    CheckOutcome,
     DirectEvent,
     FlowPacket,
     OpenPacket,
     RoutesPublished,
     StopRequested,
     StoreReached,
+    TargetChecked,
     TargetPublished,
     TargetRemoved,
     TargetsListed,
@@ -35,6 +37,8 @@
 )
 from .opens import PendingOpens
 from .placement import Placement
+from .reach_watch import ReachWatch
+from .reachability import Sign
 from .routes import RouteKind, RouteSet
 from .target_health import Evidence
 from .targets import KnownTarget, PublishedTarget, TargetDirectory
@@ -43,8 +47,8 @@
 PAUSE_LIMIT_MS = 500
 # Targets that one open is sent to at most.
 MAX_ATTEMPTS = 4
-# Retransmissions of one request after which its flow may be reset towards the caller.
-RESET_REPEATS = 2
+# With half of the targets behind a partition, about every second open needs a retry.
+RETRIES_PER_OPEN = 0.5
 
 
 class DirectCore:
@@ -56,7 +60,8 @@
         self._has_targets = False
         self._flows = FlowRecords()
         self._opens = PendingOpens()
-        self._budget = RetryBudget()
+        self._budget = RetryBudget(RETRIES_PER_OPEN)
+        self._reach = ReachWatch(self.targets)
         self._placement = Placement(self.targets, seed.to_bytes(8, "big"))
         self._last_event_ms: int | None = None
         self._is_stopping = False
@@ -101,6 +106,8 @@
                 known = self.targets.by_name(name)
                 if known is not None and self.targets.remove(now_ms, name):
                     effects.append(_changed(known))
+            case TargetChecked(name=name, outcome=outcome):
+                effects += self._take_check(now_ms, name, outcome)
             case StoreReached():
                 pass
             case StopRequested():
@@ -154,7 +161,7 @@
         if flow is not None and flow.is_repeated_by(event.copy_number, event.packet):
             return []
         if flow is None or event.copy_number <= flow.copies:
-            flow = self._flows.add(event.flow, route, now_ms)
+            flow = self._flows.add(event.flow, route, now_ms, FlowPhase.OPENING)
             self._budget.earn()
         flow.copies, flow.open_packet, flow.seen_ms = event.copy_number, event.packet, now_ms
         return self._place(now_ms, flow)
@@ -207,11 +214,11 @@
             return [ResetCaller(event.flow, event.acknowledges), Notify(reset)]
         effects: list[DirectEffect] = []
         if flow is None and event.data_bytes and not event.is_reset:
-            flow = self._flows.add(event.flow, route, now_ms)
+            flow = self._flows.add(event.flow, route, now_ms, FlowPhase.OPEN)
         if flow is not None:
             effects += self._observe(now_ms, flow, target, event)
-            if self._is_lost(now_ms, flow, target):
-                return effects + self._reset(flow, target, event.acknowledges)
+            if event.data_bytes and self._is_lost(now_ms, flow, target):
+                return effects + self._reset(now_ms, flow, target, event.acknowledges)
             if event.is_reset or event.is_last:
                 self._flows.remove(event.flow)
         endpoint = target.published.endpoint
@@ -242,24 +249,46 @@
         end = event.sequence + event.data_bytes
         if event.data_bytes and is_after(end, flow.sent_end):
             flow.sent_end = end
+            flow.sent_ms = now_ms
             flow.begin_request(now_ms)
         elif event.data_bytes:
             flow.repeats += 1
+            if target.health.answered_ms <= flow.sent_ms:
+                effects += self._reach.doubt(now_ms, target)
         return effects
 
     def _is_lost(self, now_ms: int, flow: Flow, target: KnownTarget) -> bool:
-        """Return whether a flow that repeats its request has lost its target."""
-        if flow.repeats < RESET_REPEATS or flow.route.kind is not RouteKind.IDEMPOTENT:
+        """Return whether a flow has lost its target, and its caller may repeat the request."""
+        if flow.route.kind is not RouteKind.IDEMPOTENT:
             return False
-        return target.is_gone(now_ms)
+        return target.reach.is_unreachable or (flow.repeats > 0 and target.is_gone(now_ms))
 
-    def _reset(self, flow: Flow, target: KnownTarget, acknowledges: int) -> list[DirectEffect]:
+    def _reset(
+        self, now_ms: int, flow: Flow, target: KnownTarget, acknowledges: int
+    ) -> list[DirectEffect]:
         self._flows.remove(flow.key)
-        reset = FlowReset(flow.key, target.name, ResetReason.TARGET_GONE)
+        is_gone = target.is_gone(now_ms)
+        reason = ResetReason.TARGET_GONE if is_gone else ResetReason.TARGET_UNREACHABLE
+        reset = FlowReset(flow.key, target.name, reason)
         return [ResetCaller(flow.key, acknowledges), Notify(reset)]
 
+    def _take_check(
+        self, now_ms: int, name: TargetName, outcome: CheckOutcome
+    ) -> list[DirectEffect]:
+        target = self.targets.by_name(name)
+        if target is None:
+            return []
+        effects = self._reach.take(now_ms, target, outcome)
+        if target.reach.is_unreachable:
+            for flow in self._flows.waiting_for(target):
+                if self._is_lost(now_ms, flow, target):
+                    effects += self._reset(now_ms, flow, target, flow.acknowledged)
+        return effects
+
     def _judge(self, now_ms: int, target: KnownTarget, evidence: Evidence) -> list[DirectEffect]:
         health = target.health
+        if evidence is Evidence.ANSWER:
+            target.reach.note(now_ms, Sign.ANSWER)
         if not health.note(now_ms, evidence):
             return []
         match evidence:
@@ -276,12 +305,13 @@
                 effects += self._retry(now_ms, flow)
         self._expire(now_ms)
         self.targets.forget_old(now_ms)
-        return effects
+        return effects + self._reach.due(now_ms)
 
     def _retry(self, now_ms: int, flow: Flow) -> list[DirectEffect]:
         """Send an open that was not answered to another target."""
         assert flow.target is not None
         effects = self._judge(now_ms, flow.target, Evidence.SILENCE)
+        effects += self._reach.doubt(now_ms, flow.target)
         flow.end_request()
         if len(flow.tried) >= MAX_ATTEMPTS or not self._budget.spend():
             return effects
--- a/packages/core/src/fuchsiaspread_core/direct/effects.py
+++ b/packages/core/src/fuchsiaspread_core/direct/effects.py
@@ -33,6 +33,14 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class CheckTarget:
+    """Try to connect to a target; the answer is `TargetChecked`."""
+
+    target: TargetName
+    endpoint: Endpoint
+
+
 @dataclass(frozen=True, slots=True)
 class Notify:
     """Report something to logs and counters."""
@@ -40,4 +48,4 @@
     notice: DirectNotice
 
 
-DirectEffect = ForwardOpen | ForwardPacket | ResetCaller | Notify
+DirectEffect = ForwardOpen | ForwardPacket | ResetCaller | CheckTarget | Notify
--- a/packages/core/src/fuchsiaspread_core/direct/events.py
+++ b/packages/core/src/fuchsiaspread_core/direct/events.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from ..identifiers import FlowKey, TargetName
 from .routes import RouteSet
@@ -71,6 +72,23 @@
     is_reachable: bool
 
 
+class CheckOutcome(StrEnum):
+    """Name how a connection attempt to a target ended."""
+
+    CONNECTED = "connected"
+    REFUSED = "refused"
+    TIMED_OUT = "timed_out"
+    INCONCLUSIVE = "inconclusive"
+
+
+@dataclass(frozen=True, slots=True)
+class TargetChecked:
+    """Report the outcome of a connection attempt."""
+
+    name: TargetName
+    outcome: CheckOutcome
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """Ask for a graceful stop."""
@@ -89,6 +107,7 @@
     | TargetPublished
     | TargetRemoved
     | StoreReached
+    | TargetChecked
     | StopRequested
     | Tick
 )
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -35,14 +35,15 @@
         "route",
         "seen_ms",
         "sent_end",
+        "sent_ms",
         "target",
         "tried",
     )
 
-    def __init__(self, key: FlowKey, route: Route, now_ms: int) -> None:
+    def __init__(self, key: FlowKey, route: Route, now_ms: int, phase: FlowPhase) -> None:
         self.key = key
         self.route = route
-        self.phase = FlowPhase.OPENING
+        self.phase = phase
         self.target: KnownTarget | None = None
         self.tried: list[TargetName] = []
         self.open_packet = b""
@@ -51,6 +52,7 @@
         self.seen_ms = now_ms
         self.busy_since_ms: int | None = None
         self.sent_end: int | None = None
+        self.sent_ms = now_ms
         self.acknowledged = 0
         self.repeats = 0
 
@@ -117,10 +119,10 @@
         """Return a flow, or None."""
         return self._flows.get(key)
 
-    def add(self, key: FlowKey, route: Route, now_ms: int) -> Flow:
+    def add(self, key: FlowKey, route: Route, now_ms: int, phase: FlowPhase) -> Flow:
         """Begin a record; a former one of the same key ends."""
         self.remove(key)
-        flow = self._flows[key] = Flow(key, route, now_ms)
+        flow = self._flows[key] = Flow(key, route, now_ms, phase)
         return flow
 
     def remove(self, key: FlowKey) -> None:
@@ -129,6 +131,16 @@
         if flow is not None:
             flow.release()
 
+    def waiting_for(self, target: KnownTarget) -> list[Flow]:
+        """Return the open flows that have a request at a target."""
+        return [
+            flow
+            for flow in self._flows.values()
+            if flow.target is target
+            and flow.phase is FlowPhase.OPEN
+            and flow.busy_since_ms is not None
+        ]
+
     def next_checked(self) -> Iterator[Flow]:
         """Return a bounded number of flows; successive calls go round all of them."""
         if not self._to_check:
--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..identifiers import FlowKey, ServiceName, TargetName
+from ..identifiers import FlowKey, ServiceName, TargetName, ZoneName
 
 
 class OpenRefusal(StrEnum):
@@ -18,7 +18,7 @@
 
     ROUTE_REMOVED = "route_removed"
     TARGET_GONE = "target_gone"
-    TARGET_SILENT = "target_silent"
+    TARGET_UNREACHABLE = "target_unreachable"
 
 
 class DropReason(StrEnum):
@@ -86,6 +86,16 @@
     target: TargetName
 
 
+@dataclass(frozen=True, slots=True)
+class ReachChanged:
+    """Tell that a connection attempt settled whether a target can be reached."""
+
+    target: TargetName
+    zone: ZoneName
+    is_reachable: bool
+    outcome: str
+
+
 @dataclass(frozen=True, slots=True)
 class TargetChanged:
     """Tell that what the store says of a target changed."""
@@ -117,6 +127,7 @@
     | PacketDropped
     | TargetSuspected
     | TargetCleared
+    | ReachChanged
     | TargetChanged
     | RoutesInForce
     | PauseSeen
--- a/packages/core/src/fuchsiaspread_core/direct/placement.py
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -36,9 +36,10 @@
         ]
         if not usable:
             return None
-        preferred = [known for known in usable if known.health.is_preferred(now_ms)] or usable
-        reachable = [known for known in preferred if known.published.zone not in avoided_zones]
-        loads = [(self.load(now_ms, known), known) for known in reachable or preferred]
+        reachable = [known for known in usable if not known.reach.is_unreachable] or usable
+        preferred = [known for known in reachable if known.health.is_preferred(now_ms)] or reachable
+        elsewhere = [known for known in preferred if known.published.zone not in avoided_zones]
+        loads = [(self.load(now_ms, known), known) for known in elsewhere or preferred]
         least = min(load for load, _ in loads)
         tied = {known.name: known for load, known in loads if load == least}
         return tied[rank(self._salt + flow, tied)[0]]
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -1,12 +1,13 @@
 """The targets that the store names, found by name, by cookie and by service."""
 
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from xxhash import xxh3_64_intdigest
 
 from ..identifiers import Endpoint, ServiceName, TargetName, ZoneName
+from .reachability import Reachability
 from .target_health import TargetHealth
 
 # The field of a packet that carries the cookie has 32 bits. 0 marks a packet without a cookie.
@@ -59,12 +60,14 @@
         "peer_busy_requests",
         "phase_since_ms",
         "published",
+        "reach",
     )
 
     def __init__(self, published: PublishedTarget, cookie: int, now_ms: int) -> None:
         self.published = published
         self.cookie = cookie
         self.health = TargetHealth()
+        self.reach = Reachability()
         self.busy_requests = 0
         self.open_flows = 0
         self.peer_busy_requests = 0
@@ -82,6 +85,7 @@
             self.phase_since_ms = now_ms
         if published.started_ms != self.published.started_ms:
             self.health = TargetHealth()
+            self.reach = Reachability()
         self.published = published
         self.cold_until_ms = now_ms + published.cold_ms
 
@@ -114,6 +118,7 @@
         self._by_name: dict[TargetName, KnownTarget] = {}
         self._by_cookie: dict[int, KnownTarget] = {}
         self._by_service: dict[ServiceName, list[KnownTarget]] = {}
+        self._by_endpoint: dict[Endpoint, KnownTarget] = {}
 
     def __iter__(self) -> Iterator[KnownTarget]:
         return iter(self._by_name.values())
@@ -151,20 +156,7 @@
         if known is None or known.published.phase is TargetPhase.REMOVED:
             return False
         was_draining = known.published.phase is TargetPhase.DRAINING
-        published = known.published
-        known.update(
-            now_ms,
-            PublishedTarget(
-                name=published.name,
-                service=published.service,
-                endpoint=published.endpoint,
-                zone=published.zone,
-                slots=published.slots,
-                phase=TargetPhase.REMOVED,
-                cold_ms=0,
-                started_ms=published.started_ms,
-            ),
-        )
+        known.update(now_ms, replace(known.published, phase=TargetPhase.REMOVED, cold_ms=0))
         if was_draining:
             # It announced its end, so no outage of the store explains the missing entry.
             known.phase_since_ms = now_ms - REMOVAL_GRACE_MS
@@ -186,6 +178,8 @@
                 del self._by_name[known.name]
                 if self._by_cookie.get(known.cookie) is known:
                     del self._by_cookie[known.cookie]
+                if self._by_endpoint.get(known.published.endpoint) is known:
+                    del self._by_endpoint[known.published.endpoint]
                 self._by_service[known.published.service].remove(known)
 
     def _add(self, now_ms: int, published: PublishedTarget) -> None:
@@ -196,6 +190,16 @@
         if other is None or published.name < other.name:
             self._by_cookie[known.cookie] = known
         self._by_service.setdefault(published.service, []).append(known)
+        former = self._by_endpoint.get(published.endpoint)
+        if former is None or former.published.started_ms <= published.started_ms:
+            self._by_endpoint[published.endpoint] = known
+            self._supersede(now_ms, former)
+
+    def _supersede(self, now_ms: int, former: KnownTarget | None) -> None:
+        """Note that a target is gone for good, since its address has a new one."""
+        if former is not None:
+            self.remove(now_ms, former.name)
+            former.phase_since_ms = min(former.phase_since_ms, now_ms - REMOVAL_GRACE_MS)
 
     def has_own_cookie(self, known: KnownTarget) -> bool:
         """Return whether a target's cookie leads to it; otherwise it gets no new flows."""
--- a/packages/core/src/fuchsiaspread_core/internal/retry_budget.py
+++ b/packages/core/src/fuchsiaspread_core/internal/retry_budget.py
@@ -11,12 +11,13 @@
 class RetryBudget:
     """Earn a fraction of a retry with each first attempt and spend one with each retry."""
 
-    def __init__(self) -> None:
+    def __init__(self, tokens_per_attempt: float = TOKENS_PER_ATTEMPT) -> None:
         self._tokens = FIRST_TOKENS
+        self._tokens_per_attempt = tokens_per_attempt
 
     def earn(self) -> None:
         """Count a first attempt."""
-        self._tokens = min(TOKEN_LIMIT, self._tokens + TOKENS_PER_ATTEMPT)
+        self._tokens = min(TOKEN_LIMIT, self._tokens + self._tokens_per_attempt)
 
     def spend(self) -> bool:
         """Take one retry from the budget; return whether there was one."""
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
@@ -0,0 +1,59 @@
+"""Task that tries to connect to targets whose silence raised doubt."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from fuchsiaspread_core.direct import CheckOutcome, CheckTarget, TargetChecked
+
+from .messages import DirectMailboxes, EventsReceived
+
+# A target in reach accepts within a few milliseconds, also when it is busy.
+CONNECT_TIMEOUT_MS = 250
+# An attempt that ends this much later shows a pause of this process, not of the target.
+PAUSE_MARGIN_MS = 50
+MS_PER_SECOND = 1000
+# A partition of a zone puts all of its targets in doubt at once.
+MAX_CHECKS = 64
+
+
+class CheckTask:
+    """Own the connections of the checks."""
+
+    def __init__(self, mailboxes: DirectMailboxes, now_ms: Callable[[], int]) -> None:
+        self._mailbox = mailboxes.checks
+        self._core = mailboxes.core
+        self._now_ms = now_ms
+        self._places = asyncio.Semaphore(MAX_CHECKS)
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        async with asyncio.TaskGroup() as checks:
+            while True:
+                for message in await self._mailbox.take():
+                    checks.create_task(self._check(message.check))
+
+    async def _check(self, check: CheckTarget) -> None:
+        async with self._places:
+            outcome = await self._connect(check)
+        self._core.put(EventsReceived([TargetChecked(check.target, outcome)]))
+
+    async def _connect(self, check: CheckTarget) -> CheckOutcome:
+        started_ms = self._now_ms()
+        loop = asyncio.get_running_loop()
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
+            connection.setblocking(False)
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
+                    await loop.sock_connect(connection, check.endpoint)
+            except TimeoutError:
+                waited_ms = self._now_ms() - started_ms
+                if waited_ms > CONNECT_TIMEOUT_MS + PAUSE_MARGIN_MS:
+                    return CheckOutcome.INCONCLUSIVE
+                return CheckOutcome.TIMED_OUT
+            except ConnectionRefusedError:
+                return CheckOutcome.REFUSED
+            except OSError:
+                # No way to the network, or no free descriptor: nothing is known of the target.
+                return CheckOutcome.INCONCLUSIVE
+        return CheckOutcome.CONNECTED
--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 
 from fuchsiaspread_core.direct import (
+    CheckTarget,
     DirectCore,
     DirectEffect,
     DirectEvent,
@@ -12,7 +13,13 @@
     Tick,
 )
 
-from .messages import DirectMailboxes, EventsReceived, PacketsReady, ReadinessChanged
+from .messages import (
+    CheckAsked,
+    DirectMailboxes,
+    EventsReceived,
+    PacketsReady,
+    ReadinessChanged,
+)
 from .notice_log import NoticeLog
 
 TICK_INTERVAL_MS = 200
@@ -33,6 +40,7 @@
         self._core = core
         self._mailbox = mailboxes.core
         self._packets = mailboxes.packets
+        self._checks = mailboxes.checks
         self._readiness = mailboxes.readiness
         self._notices = notices
         self._now_ms = now_ms
@@ -60,6 +68,8 @@
                 match effect:
                     case Notify(notice=notice):
                         self._notices.write(notice)
+                    case CheckTarget():
+                        self._checks.put(CheckAsked(effect))
                     case _:
                         sent.append(effect)
             if isinstance(event, StopRequested):
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -8,6 +8,7 @@
 
 from ..internal.clock import now_ms
 from ..internal.log import Level, Log
+from .check_task import CheckTask
 from .core_task import CoreTask
 from .messages import DirectMailboxes, EventsReceived
 from .notice_log import NoticeLog
@@ -44,12 +45,13 @@
         self._packets = PacketTask(settings.packets, codec, mailboxes, log)
         self._readiness = ReadinessTask(settings.readiness, settings.readiness_path, mailboxes)
         self._store = StoreTask(groups, seed, mailboxes, log)
+        self._checks = CheckTask(mailboxes, now_ms)
         core = DirectCore(seed, settings.flow_lifetime_ms)
         self._core = CoreTask(core, mailboxes, NoticeLog(log), now_ms, self._leave)
 
     async def run(self) -> bool:
         """Run the tasks until stopped; return False when a task failed instead."""
-        parts = (self._readiness, self._packets, self._core, self._store)
+        parts = (self._readiness, self._packets, self._core, self._checks, self._store)
         tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
         stopped = asyncio.create_task(self._stopped.wait())
         try:
--- a/packages/entry/src/fuchsiaspread_entry/direct/messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from fuchsiaspread_core.direct import DirectEffect, DirectEvent
+from fuchsiaspread_core.direct import CheckTarget, DirectEffect, DirectEvent
 
 from ..internal.mailbox import Mailbox
 
@@ -25,6 +25,13 @@
     effects: Sequence[DirectEffect]
 
 
+@dataclass(frozen=True, slots=True)
+class CheckAsked:
+    """Ask the check task to connect to a target."""
+
+    check: CheckTarget
+
+
 @dataclass(frozen=True, slots=True)
 class ReadinessChanged:
     """Tell the readiness task what to answer."""
@@ -42,4 +49,5 @@
 
     core: Mailbox[EventsReceived] = field(default_factory=_mailbox)
     packets: Mailbox[PacketsReady] = field(default_factory=_mailbox)
+    checks: Mailbox[CheckAsked] = field(default_factory=_mailbox)
     readiness: Mailbox[ReadinessChanged] = field(default_factory=_mailbox)
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -9,6 +9,7 @@
     OpenRefused,
     PacketDropped,
     PauseSeen,
+    ReachChanged,
     RoutesInForce,
     TargetChanged,
     TargetCleared,
@@ -28,6 +29,7 @@
     TargetCleared: ("target_cleared", Level.INFO),
     TargetChanged: ("target_changed", Level.INFO),
     RoutesInForce: ("routes_in_force", Level.INFO),
+    ReachChanged: ("reach_changed", Level.WARNING),
     PauseSeen: ("pause_seen", Level.WARNING),
 }
 
