--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
 
 from fuchsiaspread_core.direct import DirectCore, StopRequested
 
@@ -34,7 +33,7 @@
         self,
         settings: DirectSettings,
         codec: PacketCodec,
-        groups: Sequence[PublishedKeys],
+        keys: PublishedKeys,
         log: Log,
     ) -> None:
         self._log = log
@@ -44,7 +43,7 @@
         seed = random.SystemRandom().randrange(SEED_RANGE)
         self._packets = PacketTask(settings.packets, codec, mailboxes, log)
         self._readiness = ReadinessTask(settings.readiness, settings.readiness_path, mailboxes)
-        self._store = StoreTask(groups, seed, mailboxes, log)
+        self._store = StoreTask(keys, seed, mailboxes, log)
         self._checks = CheckTask(mailboxes, now_ms)
         core = DirectCore(seed, settings.flow_lifetime_ms)
         self._core = CoreTask(core, mailboxes, NoticeLog(log), now_ms, self._leave)
--- a/packages/entry/src/fuchsiaspread_entry/direct/published_store.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/published_store.py
@@ -28,12 +28,10 @@
 
 
 class PublishedKeys(Protocol):
-    """Read one group of keys of the store: the routes, or the targets."""
-
-    name: str
+    """Read and watch the routes and the targets."""
 
     async def read(self) -> Published | StoreFailed:
-        """Return all keys of the group."""
+        """Return everything."""
 
     async def watch(self, revision: int) -> Published | HistoryLost | StoreFailed:
         """Return the changes after a revision, without events when the wait ended."""
--- a/packages/entry/src/fuchsiaspread_entry/direct/runner.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/runner.py
@@ -4,7 +4,7 @@
 import gc
 import logging
 import signal
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import eliot
 
@@ -19,14 +19,14 @@
 async def serve(
     settings: DirectSettings,
     codec: PacketCodec,
-    groups: Sequence[PublishedKeys],
+    keys: PublishedKeys,
     on_reload: Callable[[Log], None],
 ) -> int:
     """Run a daemon until it is stopped by a signal; return the exit status."""
     eliot.add_destinations(print_line)
     log = Log(Level.INFO, now_ms)
     logging.getLogger().addHandler(LibraryHandler(log))
-    daemon = DirectDaemon(settings, codec, groups, log)
+    daemon = DirectDaemon(settings, codec, keys, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, daemon.stop)
     loop.add_signal_handler(signal.SIGINT, daemon.stop)
