Keep packets while the daemon starts, and load what can wait later

Cause: after a kill the daemon needs 0.3 to 0.6 s of its small VM for its start; packets in that time were lost, and their senders repeat them after growing pauses. Change: the sockets are bound before the event loop and the HTTP library are loaded; packets wait in the core, bounded in number and age, until routes and targets are known. A task of its own writes log lines without waiting for their reader and loads eliot after the start.

--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -45,6 +45,10 @@
 
 # A longer gap between two events means that the process stood still.
 PAUSE_LIMIT_MS = 500
+# Packets that come before routes and targets are known. Their senders repeat them after 200 ms,
+# later ones after longer pauses; an older packet has been repeated by then.
+HELD_LIMIT = 2_000
+HELD_LIFETIME_MS = 800
 # Targets that one open is sent to at most.
 MAX_ATTEMPTS = 4
 # With half of the targets behind a partition, about every second open needs a retry.
@@ -63,13 +67,18 @@
         self._budget = RetryBudget(RETRIES_PER_OPEN)
         self._reach = ReachWatch(self.targets)
         self._placement = Placement(self.targets, seed.to_bytes(8, "big"))
+        self._held: list[tuple[int, FlowPacket | OpenPacket]] = []
         self._last_event_ms: int | None = None
         self._is_stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Return whether the entry VM can serve and is to receive packets."""
-        return self._routes is not None and self._has_targets and not self._is_stopping
+        return self._is_configured and not self._is_stopping
+
+    @property
+    def _is_configured(self) -> bool:
+        return self._routes is not None and self._has_targets
 
     @property
     def version(self) -> int:
@@ -90,6 +99,8 @@
         """Take an event and return what is to be done."""
         effects = self._note_time(now_ms)
         match event:
+            case FlowPacket() | OpenPacket() if not self._is_configured:
+                effects += self._hold(now_ms, event)
             case FlowPacket():
                 effects += self._take_packet(now_ms, event)
             case OpenPacket():
@@ -97,9 +108,9 @@
             case Tick():
                 effects += self._tick(now_ms)
             case RoutesPublished(routes=routes):
-                effects += self._take_routes(routes)
+                effects += self._take_routes(routes) + self._release(now_ms)
             case TargetsListed(targets=targets):
-                effects += self._take_list(now_ms, targets)
+                effects += self._take_list(now_ms, targets) + self._release(now_ms)
             case TargetPublished(target=target):
                 effects += self._take_target(now_ms, target)
             case TargetRemoved(name=name):
@@ -125,6 +136,24 @@
         self._opens.clear()
         return [Notify(PauseSeen(gap_ms))]
 
+    def _hold(self, now_ms: int, event: FlowPacket | OpenPacket) -> list[DirectEffect]:
+        """Keep a packet until routes and targets are known."""
+        if len(self._held) >= HELD_LIMIT:
+            return [Notify(PacketDropped(event.flow, DropReason.NOT_CONFIGURED))]
+        self._held.append((now_ms, event))
+        return []
+
+    def _release(self, now_ms: int) -> list[DirectEffect]:
+        """Take the packets that waited for routes and targets."""
+        if not self._is_configured or not self._held:
+            return []
+        held, self._held = self._held, []
+        effects: list[DirectEffect] = []
+        for held_ms, event in held:
+            if now_ms - held_ms < HELD_LIFETIME_MS:
+                effects += self.handle(now_ms, event)
+        return effects
+
     def _take_routes(self, routes: RouteSet) -> list[DirectEffect]:
         # A late answer of the store may hold an older version.
         if routes.version <= self.version:
@@ -151,8 +180,7 @@
         return [_changed(known)]
 
     def _take_open(self, now_ms: int, event: OpenPacket) -> list[DirectEffect]:
-        if self._routes is None:
-            return [Notify(PacketDropped(event.flow, DropReason.NOT_CONFIGURED))]
+        assert self._routes is not None
         route = self._routes.find(address_of(event.flow))
         if route is None:
             refused = OpenRefused(event.flow, OpenRefusal.NO_ROUTE, self.version)
@@ -201,8 +229,7 @@
         return [forward, Notify(placed)]
 
     def _take_packet(self, now_ms: int, event: FlowPacket) -> list[DirectEffect]:
-        if self._routes is None:
-            return [Notify(PacketDropped(event.flow, DropReason.NOT_CONFIGURED))]
+        assert self._routes is not None
         flow = self._flows.get(event.flow)
         target = self.targets.by_cookie(event.cookie)
         if target is None:
--- a/packages/core/tests/direct/test_opens.py
+++ b/packages/core/tests/direct/test_opens.py
@@ -3,20 +3,23 @@
 import unittest
 
 from fuchsiaspread_core.direct import (
+    DirectCore,
     ForwardOpen,
     ResetCaller,
     RoutesPublished,
     TargetPhase,
     TargetPublished,
     TargetRemoved,
+    TargetsListed,
     Tick,
 )
-from fuchsiaspread_core.direct.core import RETRIES_PER_OPEN
+from fuchsiaspread_core.direct.core import HELD_LIMIT, RETRIES_PER_OPEN
 from fuchsiaspread_core.direct.notices import OpenRefusal, OpenRefused, TargetSuspected
 
 from .site import (
     CARD_ADDRESS,
     FEED_ADDRESS,
+    FLOW_LIFETIME_MS,
     INSPECTION,
     SCAN_ADDRESS,
     Site,
@@ -126,3 +129,29 @@
         """Guards against suspecting every target after the process stood still."""
         self.site.open(1)
         self.assertEqual(self.site.take(Tick(), 4_000), [])
+
+
+class StartTest(unittest.TestCase):
+    def test_packets_wait_until_routes_and_targets_are_known(self) -> None:
+        """Guards against opens that a restarted entry VM drops while it reads the store."""
+        core = DirectCore(7, FLOW_LIFETIME_MS)
+        self.assertEqual(core.handle(0, open_packet(1)), [])
+        core.handle(20, RoutesPublished(routes()))
+        effects = core.handle(40, TargetsListed((target(1),)))
+        self.assertEqual([type(one) for one in effects].count(ForwardOpen), 1)
+        self.assertEqual(core.handle(50, TargetsListed((target(1),))), [])
+
+    def test_packets_that_waited_too_long_are_dropped(self) -> None:
+        """Guards against serving callers that have given up."""
+        core = DirectCore(7, FLOW_LIFETIME_MS)
+        core.handle(0, open_packet(1))
+        core.handle(20, RoutesPublished(routes()))
+        effects = core.handle(2_000, TargetsListed((target(1),)))
+        self.assertNotIn(ForwardOpen, [type(one) for one in effects])
+
+    def test_waiting_packets_are_bounded(self) -> None:
+        """Guards against memory that grows while the store is down."""
+        core = DirectCore(7, FLOW_LIFETIME_MS)
+        for number in range(HELD_LIMIT):
+            self.assertEqual(core.handle(0, open_packet(number)), [])
+        self.assertEqual(len(core.handle(0, open_packet(HELD_LIMIT))), 1)
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
+from socket import socket
 
 from fuchsiaspread_core.direct import DirectCore, StopRequested
 
@@ -9,6 +11,7 @@
 from ..internal.log import Level, Log
 from .check_task import CheckTask
 from .core_task import CoreTask
+from .log_task import LogTask
 from .messages import DirectMailboxes, EventsReceived
 from .notice_log import NoticeLog
 from .packet_task import PacketCodec, PacketTask
@@ -23,26 +26,34 @@
 LEAVE_S = 1.6
 
 
-class DirectDaemon:
-    """Run the tasks of one entry VM until it is told to stop.
+@dataclass(frozen=True, slots=True)
+class BoundSockets:
+    """Hold the sockets that exist before the event loop, so that no packet is lost meanwhile."""
+
+    packets: socket
+    readiness: socket
 
-    Errors: OSError when an address of the settings cannot be bound.
-    """
+
+class DirectDaemon:
+    """Run the tasks of one entry VM until it is told to stop."""
 
     def __init__(
         self,
         settings: DirectSettings,
+        sockets: BoundSockets,
         codec: PacketCodec,
         keys: PublishedKeys,
+        output: LogTask,
         log: Log,
     ) -> None:
         self._log = log
+        self._output = output
         self._mailboxes = mailboxes = DirectMailboxes()
         self._stopped = asyncio.Event()
         # Equal choices among equally loaded targets would send all entry VMs to the same one.
         seed = random.SystemRandom().randrange(SEED_RANGE)
-        self._packets = PacketTask(settings.packets, codec, mailboxes, log)
-        self._readiness = ReadinessTask(settings.readiness, settings.readiness_path, mailboxes)
+        self._packets = PacketTask(sockets.packets, codec, mailboxes, log)
+        self._readiness = ReadinessTask(sockets.readiness, settings.readiness_path, mailboxes)
         self._store = StoreTask(keys, seed, mailboxes, log)
         self._checks = CheckTask(mailboxes, now_ms)
         core = DirectCore(seed, settings.flow_lifetime_ms)
@@ -50,7 +61,14 @@
 
     async def run(self) -> bool:
         """Run the tasks until stopped; return False when a task failed instead."""
-        parts = (self._readiness, self._packets, self._core, self._checks, self._store)
+        parts = (
+            self._readiness,
+            self._packets,
+            self._core,
+            self._checks,
+            self._store,
+            self._output,
+        )
         tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
         stopped = asyncio.create_task(self._stopped.wait())
         try:
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/log_task.py
@@ -0,0 +1,81 @@
+"""Task that writes log lines to standard output without ever waiting for its reader."""
+
+import asyncio
+import os
+import sys
+import time
+from collections import deque
+from collections.abc import Callable
+
+from ..internal.log import format_line
+
+# Lines leave in batches: each write costs a system call.
+FLUSH_INTERVAL_S = 0.25
+# Lines that a reader has not taken yet; about 200 bytes each.
+WAITING_LINES_LIMIT = 5_000
+UNSENT_LIMIT_BYTES = 64 * 1024
+
+
+class LogTask:
+    """Own standard output; lines that nobody reads are dropped and counted."""
+
+    def __init__(self, now_ms: Callable[[], int], output_fd: int | None = None) -> None:
+        self._now_ms = now_ms
+        self._fd = sys.stdout.fileno() if output_fd is None else output_fd
+        self._waiting: deque[dict[str, object]] = deque()
+        self._unsent = bytearray()
+        self._dropped = 0
+        self._is_registered = False
+        self._wake: asyncio.Event | None = None
+
+    def write(self, **fields: object) -> None:
+        """Take one event with the moment at which it happened."""
+        if len(self._waiting) >= WAITING_LINES_LIMIT:
+            self._dropped += 1
+            return
+        self._waiting.append({"recorded_s": time.time(), "steady_ms": self._now_ms()} | fields)
+        if self._wake is not None:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Write lines until cancelled."""
+        os.set_blocking(self._fd, False)
+        self._wake = asyncio.Event()
+        try:
+            while True:
+                if not self._waiting and not self._unsent:
+                    self._wake.clear()
+                    await self._wake.wait()
+                await asyncio.sleep(FLUSH_INTERVAL_S)
+                self.flush()
+        finally:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what standard output takes at once; the rest waits."""
+        if self._dropped and len(self._waiting) < WAITING_LINES_LIMIT:
+            dropped, self._dropped = self._dropped, 0
+            self.write(message_type="lines_dropped", level="warning", count=dropped)
+        if self._waiting:
+            self._format()
+        try:
+            while self._unsent:
+                del self._unsent[: os.write(self._fd, self._unsent)]
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader has gone for good; there is nobody to tell.
+            self._unsent.clear()
+
+    def _format(self) -> None:
+        # Loading eliot takes a fifth of the daemon's start, and packets go first.
+        import eliot
+
+        if not self._is_registered:
+            self._is_registered = True
+            eliot.add_destinations(self._take_line)
+        while self._waiting and len(self._unsent) < UNSENT_LIMIT_BYTES:
+            eliot.log_message(**self._waiting.popleft())
+
+    def _take_line(self, message: dict[str, object]) -> None:
+        self._unsent += format_line(message).encode() + b"\n"
--- a/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
@@ -1,5 +1,6 @@
 """Task that owns the UDP socket towards callers and targets."""
 
+from socket import socket
 from typing import Protocol
 
 from fuchsiaspread_core.direct import DirectEffect, DirectEvent
@@ -26,13 +27,13 @@
     """Decode datagrams for the core task and send its packets."""
 
     def __init__(
-        self, listen: Endpoint, codec: PacketCodec, mailboxes: DirectMailboxes, log: Log
+        self, bound: socket, codec: PacketCodec, mailboxes: DirectMailboxes, log: Log
     ) -> None:
         self._codec = codec
         self._mailbox = mailboxes.packets
         self._core = mailboxes.core
         self._log = log
-        self._socket = DatagramSocket(listen, codec.max_datagram_bytes, self._receive)
+        self._socket = DatagramSocket(bound, codec.max_datagram_bytes, self._receive)
 
     @property
     def address(self) -> Endpoint:
--- a/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
@@ -1,6 +1,6 @@
 """Task that tells the fabric over HTTP whether this entry VM takes packets."""
 
-import socket
+from socket import socket
 
 from fuchsiaspread_core.identifiers import Endpoint
 from tornado.httpserver import HTTPServer
@@ -8,7 +8,6 @@
 
 from .messages import DirectMailboxes
 
-BACKLOG = 20
 MAX_REQUEST_BYTES = 8 * 1024
 IDLE_TIMEOUT_S = 30
 READY, NOT_READY, NOT_FOUND = (200, "OK"), (503, "Service Unavailable"), (404, "Not Found")
@@ -17,12 +16,11 @@
 class ReadinessTask:
     """Own the HTTP server of the readiness address."""
 
-    def __init__(self, listen: Endpoint, path: str, mailboxes: DirectMailboxes) -> None:
+    def __init__(self, bound: socket, path: str, mailboxes: DirectMailboxes) -> None:
         self._mailbox = mailboxes.readiness
         self._path = path
         self._is_ready = False
-        self._socket = socket.create_server(listen, backlog=BACKLOG)
-        self._socket.setblocking(False)
+        self._socket = bound
 
     @property
     def address(self) -> Endpoint:
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/internal/bound_socket.py
@@ -0,0 +1,36 @@
+"""Binding of sockets, apart from the event loop that reads them."""
+
+import socket
+
+from fuchsiaspread_core.identifiers import Endpoint
+
+# Holds about 20 ms of datagrams of 200 bytes at full rate with the kernel's overhead.
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+LISTEN_BACKLOG = 20
+
+
+def bind_datagram_socket(listen: Endpoint) -> socket.socket:
+    """Return a non-blocking UDP socket; the kernel keeps datagrams from now on.
+
+    Errors: OSError when the address cannot be bound.
+    """
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    try:
+        bound.bind(listen)
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def bind_stream_socket(listen: Endpoint) -> socket.socket:
+    """Return a non-blocking listening TCP socket.
+
+    Errors: OSError when the address cannot be bound.
+    """
+    bound = socket.create_server(listen, backlog=LISTEN_BACKLOG)
+    bound.setblocking(False)
+    return bound
--- a/packages/entry/src/fuchsiaspread_entry/internal/datagram_socket.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/datagram_socket.py
@@ -8,8 +8,6 @@
 
 # One readiness callback reads at most this many datagrams, so that other tasks get their turn.
 DRAIN_LIMIT = 64
-# Holds about 20 ms of datagrams of 200 bytes at full rate with the kernel's overhead.
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
 Datagram = tuple[bytes, tuple[str, int]]
 
@@ -18,17 +16,9 @@
     """Own a UDP socket; `on_batch` is called with the datagrams of each drain."""
 
     def __init__(
-        self, listen: Endpoint, max_bytes: int, on_batch: Callable[[list[Datagram]], None]
+        self, bound: socket.socket, max_bytes: int, on_batch: Callable[[list[Datagram]], None]
     ) -> None:
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
-        try:
-            self._socket.bind(listen)
-        except OSError:
-            self._socket.close()
-            raise
+        self._socket = bound
         # One byte more than allowed, so that an oversized datagram is recognised by its length.
         self._read_bytes = max_bytes + 1
         self._on_batch = on_batch
--- a/packages/entry/src/fuchsiaspread_entry/internal/log.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/log.py
@@ -7,14 +7,14 @@
 from datetime import UTC, datetime
 from enum import IntEnum
 
-import eliot
-
 # Events that packets can cause would otherwise fill the log at packet rate.
 LINES_PER_SECOND = 5
 LINES_BURST = 20
 MS_PER_SECOND = 1000
 # Fields that eliot adds for its action trees, which a line for each event does not need.
-HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "level"})
+HIDDEN_FIELDS = frozenset(
+    {"task_uuid", "task_level", "timestamp", "recorded_s", "message_type", "level"}
+)
 
 
 class Level(IntEnum):
@@ -40,11 +40,11 @@
         self,
         level: Level,
         now_ms: Callable[[], int],
-        write: Callable[..., None] = eliot.log_message,
+        write: Callable[..., None] | None = None,
     ) -> None:
         self.level = level
         self._now_ms = now_ms
-        self._write = write
+        self._write = write or write_with_eliot
         self._buckets: dict[str, _Bucket] = {}
 
     def write(self, level: Level, event: str, **fields: object) -> None:
@@ -85,6 +85,14 @@
         self._log.write(level, "library_message", **fields)
 
 
+def write_with_eliot(**fields: object) -> None:
+    """Hand an event to eliot's destinations."""
+    # Loading eliot takes a fifth of a daemon's start; a daemon may log after it serves.
+    import eliot
+
+    eliot.log_message(**fields)
+
+
 def level_of(name: str) -> Level:
     """Return the level of a name in the settings file."""
     return Level[name.upper()]
@@ -97,7 +105,9 @@
 
 def format_line(message: dict[str, object]) -> str:
     """Return an eliot message as one key=value line."""
-    moment = datetime.fromtimestamp(float(str(message["timestamp"])), UTC)
+    # A line that was written later than its event carries the event's own time.
+    recorded_s = message.get("recorded_s", message["timestamp"])
+    moment = datetime.fromtimestamp(float(str(recorded_s)), UTC)
     pairs = [
         ("time", moment.isoformat(timespec="milliseconds")),
         ("level", message.get("level", "info")),
--- a/packages/entry/src/fuchsiaspread_entry/tasks/fabric_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/fabric_task.py
@@ -5,6 +5,7 @@
 from fuchsiaspread_core.events import PacketEvent
 from fuchsiaspread_core.identifiers import Endpoint
 
+from ..internal.bound_socket import bind_datagram_socket
 from ..internal.counts import CountKey, Metric
 from ..internal.datagram_socket import Datagram, DatagramSocket
 from ..internal.mailboxes import Mailboxes
@@ -37,7 +38,7 @@
         self._core = mailboxes.core
         self._service_hosts: frozenset[bytes] = frozenset()
         self._reporter = Reporter(mailboxes.admin)
-        self._socket = DatagramSocket(listen, MAX_PACKET_BYTES, self._receive)
+        self._socket = DatagramSocket(bind_datagram_socket(listen), MAX_PACKET_BYTES, self._receive)
 
     @property
     def address(self) -> Endpoint:
--- a/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/peer_task.py
@@ -10,6 +10,7 @@
 from fuchsiaspread_core.members import Member
 
 from ..internal.authentication import Keyring, ReplayWindows
+from ..internal.bound_socket import bind_datagram_socket
 from ..internal.counts import CountKey, Metric
 from ..internal.datagram_socket import Datagram, DatagramSocket
 from ..internal.mailboxes import Mailboxes
@@ -64,7 +65,9 @@
         self._addresses: dict[EntryName, Endpoint] = {}
         self._windows = ReplayWindows()
         self._reporter = Reporter(mailboxes.admin)
-        self._socket = DatagramSocket(listen, MAX_DATAGRAM_BYTES, self._receive)
+        self._socket = DatagramSocket(
+            bind_datagram_socket(listen), MAX_DATAGRAM_BYTES, self._receive
+        )
 
     @property
     def address(self) -> Endpoint:
