Send no second connection for an open at a busy target

Cause: while targets are overloaded after a restart, they answer opens late; the retries after 50 ms added connections and suspected every target. Change: when this VM alone keeps the target busy beyond its slots, silence brings a check of the way to it but no retry; the caller's own copy still goes elsewhere.

--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -347,6 +347,9 @@
     def _retry(self, now_ms: int, flow: Flow) -> list[DirectEffect]:
         """Send an open that was not answered to another target."""
         assert flow.target is not None
+        if flow.target.busy_requests > flow.target.capacity(now_ms):
+            # A busy target answers late; a second connection would only add to its work.
+            return self._reach.doubt(now_ms, flow.target)
         effects = self._judge(now_ms, flow.target, Evidence.SILENCE)
         effects += self._reach.doubt(now_ms, flow.target)
         flow.end_request()
--- a/packages/core/tests/direct/test_opens.py
+++ b/packages/core/tests/direct/test_opens.py
@@ -76,6 +76,14 @@
         assert known is not None
         self.assertTrue(known.health.is_preferred(self.site.now_ms))
 
+    def test_silence_of_a_busy_target_brings_no_second_connection(self) -> None:
+        """Guards against more work for targets that are already overloaded."""
+        site = Site((target(1), target(2)))
+        for number in range(8):
+            site.open(number)
+        self.assertEqual(site.take(Tick(), 55), [])
+        self.assertEqual(len(site.checked), 2)
+
     def test_answered_open_is_not_sent_again(self) -> None:
         """Guards against a second connection for an open that a target accepted."""
         self.site.answer(1, self.site.open(1).cookie)
