--- a/packages/entry/src/fuchsiaspread_entry/direct/settings.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/settings.py
@@ -15,4 +15,3 @@
     readiness: Endpoint
     readiness_path: str
     flow_lifetime_ms: int
-    stop_grace_ms: int
--- a/packages/entry/tests/entry/test_operations_page.py
+++ b/packages/entry/tests/entry/test_operations_page.py
@@ -10,7 +10,7 @@
 from fuchsiaspread_entry.internal.counts import Metric
 from fuchsiaspread_entry.peer_codec import PeerFault
 
-PAGE = (Path(__file__).resolve().parents[4] / "docs" / "operations.md").read_text(encoding="utf-8")
+PAGE = (Path(__file__).resolve().parents[4] / "docs" / "OPERATIONS.md").read_text(encoding="utf-8")
 SOURCES = Path(fuchsiaspread_entry.__file__).parent
 LEVELLED_EVENT = re.compile(r'Level\.[A-Z]+,\s*"([a-z_]+)"')
 PLAIN_EVENT = re.compile(r'log\.write\(\s*level, "([a-z_]+)"')
