--- a/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from ..identifiers import ZoneName
 from .effects import CheckTarget, DirectEffect, Notify
 from .events import CheckOutcome
 from .notices import ReachChanged
@@ -47,12 +48,19 @@
         return effects
 
     def due(self, now_ms: int) -> list[DirectEffect]:
-        """Check unreachable targets again when their time has come."""
+        """Check unreachable targets again: one a zone, whose success leads to the others."""
         effects: list[DirectEffect] = []
+        checked: set[ZoneName] = set()
         for known in self._targets:
-            if known.reach.is_due(now_ms) and not known.is_gone(now_ms):
-                known.reach.note(now_ms, Sign.DUE)
-                effects += _check(known)
+            if not known.reach.is_due(now_ms) or known.is_gone(now_ms):
+                continue
+            zone = known.published.zone
+            if zone in checked:
+                known.reach.postpone(now_ms)
+                continue
+            checked.add(zone)
+            known.reach.note(now_ms, Sign.DUE)
+            effects += _check(known)
         return effects
 
     def _of_zone(self, known: KnownTarget) -> Iterable[KnownTarget]:
--- a/packages/core/src/fuchsiaspread_core/direct/reachability.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability.py
@@ -5,7 +5,7 @@
 # A doubt that a connection has just settled is not checked again for this time.
 SETTLED_MS = 500
 FIRST_RECHECK_MS = 500
-MAX_RECHECK_MS = 2_000
+MAX_RECHECK_MS = 1_000
 
 
 class Reach(StrEnum):
@@ -66,6 +66,10 @@
         """Return whether an unreachable target is to be checked again."""
         return self.state is Reach.UNREACHABLE and now_ms >= self.due_ms
 
+    def postpone(self, now_ms: int) -> None:
+        """Leave the next check to another target of the same zone."""
+        self.due_ms = now_ms + FIRST_RECHECK_MS
+
     def note(self, now_ms: int, sign: Sign) -> bool:
         """Take a sign; return whether a check must start now."""
         if sign is Sign.DOUBT and now_ms - self.settled_ms < SETTLED_MS:
--- a/packages/core/tests/direct/test_reach.py
+++ b/packages/core/tests/direct/test_reach.py
@@ -113,6 +113,21 @@
         same_zone = [name for name, zone in self.zones.items() if zone in checked]
         self.assertCountEqual(set(self.site.checked), same_zone)
 
+    def test_one_target_of_a_zone_is_checked_for_all(self) -> None:
+        """Guards against many connections during a partition, and against a late end of it."""
+        first = self.site.open(1)
+        zone = self.zones[first.target]
+        names = [name for name, other in self.zones.items() if other == zone]
+        self.site.take(Tick(), 60)
+        for name in (first.target, *names):
+            self.site.take(TargetChecked(name, CheckOutcome.TIMED_OUT))
+        self.site.checked.clear()
+        for _ in range(3):
+            self.site.take(Tick(), 200)
+        (probed,) = self.site.checked
+        self.site.take(TargetChecked(probed, CheckOutcome.CONNECTED))
+        self.assertCountEqual(self.site.checked, names)
+
     def test_unreachable_targets_get_no_opens_and_are_checked_again(self) -> None:
         """Guards against opens that find out about the end of a partition."""
         placed = self.site.open(1)
