Split the direct core into its paths

Change: open path, flow path, held packets, evidence and the store's news are modules of their own over a shared state; a tick looks at removed and unreachable targets only.

--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_path.py
@@ -0,0 +1,112 @@
+"""The path of packets on open flows, and resets of flows that lost their target."""
+
+from ..identifiers import TargetName, address_of
+from .effects import DirectEffect, ForwardPacket, Notify, ResetCaller
+from .events import CheckOutcome, FlowPacket
+from .evidence import note_answer
+from .flows import Flow, FlowPhase, is_after
+from .notices import DropReason, FlowReset, PacketDropped, ResetReason
+from .routes import RouteKind
+from .state import DirectState
+from .targets import KnownTarget
+
+
+class FlowPath:
+    """Route packets by their cookie and take what they show of their targets."""
+
+    def __init__(self, state: DirectState) -> None:
+        self._state = state
+
+    def take(self, now_ms: int, event: FlowPacket) -> list[DirectEffect]:
+        """Take a caller's packet on an open flow."""
+        state = self._state
+        assert state.routes is not None
+        target = state.targets.by_cookie(event.cookie)
+        if target is None:
+            return [Notify(PacketDropped(event.flow, DropReason.UNKNOWN_COOKIE))]
+        route = state.routes.find(address_of(event.flow))
+        if route is None:
+            state.flows.remove(event.flow)
+            reset = FlowReset(event.flow, target.name, ResetReason.ROUTE_REMOVED)
+            return [ResetCaller(event.flow, event.acknowledges), Notify(reset)]
+        flow = state.flows.get(event.flow)
+        if flow is None and event.data_bytes and not event.is_reset:
+            flow = state.flows.add(event.flow, route, now_ms, FlowPhase.OPEN)
+        effects: list[DirectEffect] = []
+        if flow is not None:
+            effects += self._observe(now_ms, flow, target, event)
+            if event.data_bytes and _is_lost(now_ms, flow, target):
+                return effects + self._reset(now_ms, flow, target, event.acknowledges)
+            if event.is_reset or event.is_last:
+                state.flows.remove(event.flow)
+        endpoint = target.published.endpoint
+        effects.append(ForwardPacket(target.name, endpoint, event.packet))
+        return effects
+
+    def take_check(
+        self, now_ms: int, name: TargetName, outcome: CheckOutcome
+    ) -> list[DirectEffect]:
+        """Take the outcome of a check; reset what waits for a target out of reach."""
+        target = self._state.targets.by_name(name)
+        if target is None:
+            return []
+        effects = self._state.reach.take(now_ms, target, outcome)
+        if target.reach.is_unreachable:
+            for flow in self._state.flows.waiting_for(target):
+                if _is_lost(now_ms, flow, target):
+                    effects += self._reset(now_ms, flow, target, flow.acknowledged)
+        return effects
+
+    def expire(self, now_ms: int) -> None:
+        """Forget some of the flows that are no longer used, and work that ended unseen."""
+        if self._state.routes is None:
+            return
+        idle_ms = self._state.routes.idle_timeout_ms
+        for flow in list(self._state.flows.next_checked()):
+            if now_ms - flow.seen_ms > idle_ms:
+                self._state.flows.remove(flow.key)
+            elif flow.is_busy_longer_than(now_ms, flow.route.timeout_ms):
+                flow.end_request()
+
+    def _observe(
+        self, now_ms: int, flow: Flow, target: KnownTarget, event: FlowPacket
+    ) -> list[DirectEffect]:
+        """Take what a packet shows of its flow and of the target behind it."""
+        effects: list[DirectEffect] = []
+        flow.assign(target)
+        flow.seen_ms = now_ms
+        if flow.phase is FlowPhase.OPENING:
+            flow.confirm(event.sequence, event.acknowledges)
+            effects += note_answer(now_ms, target)
+        if flow.sent_end is None:
+            flow.sent_end, flow.acknowledged = event.sequence, event.acknowledges
+        if is_after(event.acknowledges, flow.acknowledged):
+            flow.acknowledged = event.acknowledges
+            flow.repeats = 0
+            flow.end_request()
+            effects += note_answer(now_ms, target)
+        end = event.sequence + event.data_bytes
+        if event.data_bytes and is_after(end, flow.sent_end):
+            flow.sent_end, flow.sent_ms = end, now_ms
+            flow.begin_request(now_ms)
+        elif event.data_bytes:
+            flow.repeats += 1
+            if target.health.answered_ms <= flow.sent_ms:
+                effects += self._state.reach.doubt(now_ms, target)
+        return effects
+
+    def _reset(
+        self, now_ms: int, flow: Flow, target: KnownTarget, acknowledges: int
+    ) -> list[DirectEffect]:
+        self._state.flows.remove(flow.key)
+        is_gone = target.is_gone(now_ms)
+        reason = ResetReason.TARGET_GONE if is_gone else ResetReason.TARGET_UNREACHABLE
+        reset = FlowReset(flow.key, target.name, reason)
+        return [ResetCaller(flow.key, acknowledges), Notify(reset)]
+
+
+def _is_lost(now_ms: int, flow: Flow, target: KnownTarget) -> bool:
+    """Return whether a flow has lost its target, and its caller may repeat the request."""
+    if flow.route.kind is not RouteKind.IDEMPOTENT:
+        return False
+    return target.reach.is_unreachable or (flow.repeats > 0 and target.is_gone(now_ms))
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -68,6 +68,17 @@
         """Return whether the attempt of that moment is the last one and still unanswered."""
         return self.phase is FlowPhase.OPENING and self.attempt_ms == attempt_ms
 
+    def is_busy_longer_than(self, now_ms: int, limit_ms: int) -> bool:
+        """Return whether a request has been at the target for longer than a limit."""
+        return self.busy_since_ms is not None and now_ms - self.busy_since_ms > limit_ms
+
+    def confirm(self, sequence: int, acknowledges: int) -> None:
+        """Note that the caller has the target's acceptance; the open is over."""
+        self.phase = FlowPhase.OPEN
+        self.open_packet = b""
+        self.sent_end, self.acknowledged = sequence, acknowledges
+        self.end_request()
+
     def assign(self, target: KnownTarget) -> None:
         """Count the flow at a target, no longer at a former one."""
         if self.target is target:
--- /dev/null
+++ b/packages/core/src/fuchsiaspread_core/direct/open_path.py
@@ -0,0 +1,111 @@
+"""The path of opens: placement, and retries of those that no target answered."""
+
+from ..identifiers import address_of
+from ..internal.retry_budget import RetryBudget
+from .effects import DirectEffect, ForwardOpen, Notify, ResetCaller
+from .events import OpenPacket
+from .evidence import note_silence
+from .flows import Flow, FlowPhase
+from .notices import DropReason, OpenPlaced, OpenRefusal, OpenRefused, PacketDropped
+from .opens import PendingOpens
+from .placement import Placement
+from .state import DirectState
+
+# Targets that one open is sent to at most.
+MAX_ATTEMPTS = 4
+# With half of the targets behind a partition, about every second open needs a retry.
+RETRIES_PER_OPEN = 0.5
+
+
+class OpenPath:
+    """Send opens to targets and wait for their answers."""
+
+    def __init__(self, state: DirectState, seed: int) -> None:
+        self._state = state
+        self._opens = PendingOpens()
+        self._budget = RetryBudget(RETRIES_PER_OPEN)
+        self._placement = Placement(state.targets, seed.to_bytes(8, "big"))
+
+    @property
+    def deadline_ms(self) -> int | None:
+        """Return when the next waiting open is due, or None."""
+        return self._opens.deadline_ms
+
+    def forget_waiting(self) -> None:
+        """Forget all waiting opens: after a pause their silence proves nothing."""
+        self._opens.clear()
+
+    def take(self, now_ms: int, event: OpenPacket) -> list[DirectEffect]:
+        """Take a caller's open or a copy of it."""
+        assert self._state.routes is not None
+        route = self._state.routes.find(address_of(event.flow))
+        if route is None:
+            refused = OpenRefused(event.flow, OpenRefusal.NO_ROUTE, self._state.version)
+            return [ResetCaller(event.flow, 0), Notify(refused)]
+        flow = self._state.flows.get(event.flow)
+        if flow is not None and flow.is_repeated_by(event.copy_number, event.packet):
+            return []
+        if flow is None or event.copy_number <= flow.copies:
+            flow = self._state.flows.add(event.flow, route, now_ms, FlowPhase.OPENING)
+            self._budget.earn()
+        flow.copies, flow.open_packet, flow.seen_ms = event.copy_number, event.packet, now_ms
+        return self._place(now_ms, flow)
+
+    def retry_due(self, now_ms: int) -> list[DirectEffect]:
+        """Retry the opens that were not answered in time."""
+        effects: list[DirectEffect] = []
+        for key, attempt_ms in self._opens.due(now_ms):
+            flow = self._state.flows.get(key)
+            if flow is not None and flow.is_waiting_since(attempt_ms):
+                effects += self._retry(now_ms, flow)
+        return effects
+
+    def _place(self, now_ms: int, flow: Flow) -> list[DirectEffect]:
+        service = flow.route.service_for(flow.key)
+        candidates = self._state.targets.of_service(service)
+        # An open that one target did not answer goes to another zone, which may be reachable.
+        avoided = {known.published.zone for known in candidates if known.name in flow.tried}
+        target = self._placement.choose(now_ms, flow.key, candidates, flow.tried, avoided)
+        if target is None:
+            return self._give_up(flow)
+        placed = OpenPlaced(
+            flow.key,
+            service,
+            flow.route.name,
+            self._state.version,
+            target.name,
+            len(flow.tried),
+            target.busy_requests,
+            target.open_flows,
+        )
+        flow.tried.append(target.name)
+        flow.assign(target)
+        flow.begin_request(now_ms)
+        flow.attempt_ms = now_ms
+        target.health.start_open(now_ms)
+        self._opens.add(now_ms, flow.key)
+        endpoint = target.published.endpoint
+        forward = ForwardOpen(target.name, endpoint, target.cookie, flow.open_packet)
+        return [forward, Notify(placed)]
+
+    def _give_up(self, flow: Flow) -> list[DirectEffect]:
+        if flow.tried:
+            # A further copy of the open begins again with all targets.
+            flow.tried.clear()
+            return [Notify(PacketDropped(flow.key, DropReason.NO_OTHER_TARGET))]
+        self._state.flows.remove(flow.key)
+        refused = OpenRefused(flow.key, OpenRefusal.NO_TARGET, self._state.version)
+        return [ResetCaller(flow.key, 0), Notify(refused)]
+
+    def _retry(self, now_ms: int, flow: Flow) -> list[DirectEffect]:
+        """Send an open that was not answered to another target."""
+        assert flow.target is not None
+        doubt = self._state.reach.doubt(now_ms, flow.target)
+        if flow.target.busy_requests > flow.target.capacity(now_ms):
+            # A busy target answers late; a second connection would only add to its work.
+            return doubt
+        effects = note_silence(now_ms, flow.target) + doubt
+        flow.end_request()
+        if len(flow.tried) >= MAX_ATTEMPTS or not self._budget.spend():
+            return effects
+        return effects + self._place(now_ms, flow)
--- a/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ..identifiers import ZoneName
+from ..identifiers import TargetName, ZoneName
 from .effects import CheckTarget, DirectEffect, Notify
 from .events import CheckOutcome
 from .notices import ReachChanged
@@ -22,6 +22,7 @@
 
     def __init__(self, targets: TargetDirectory) -> None:
         self._targets = targets
+        self._unreachable: dict[TargetName, KnownTarget] = {}
 
     def doubt(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
         """Check a target that did not answer."""
@@ -32,6 +33,8 @@
         was_unreachable = known.reach.is_unreachable
         known.reach.note(now_ms, SIGNS[outcome])
         is_unreachable = known.reach.is_unreachable
+        if is_unreachable:
+            self._unreachable[known.name] = known
         if is_unreachable is was_unreachable:
             return []
         zone = known.published.zone
@@ -51,8 +54,11 @@
         """Check unreachable targets again: one a zone, whose success leads to the others."""
         effects: list[DirectEffect] = []
         checked: set[ZoneName] = set()
-        for known in self._targets:
-            if not known.reach.is_due(now_ms) or known.is_gone(now_ms):
+        for known in list(self._unreachable.values()):
+            if not known.reach.is_unreachable or known.is_gone(now_ms):
+                del self._unreachable[known.name]
+                continue
+            if not known.reach.is_due(now_ms):
                 continue
             zone = known.published.zone
             if zone in checked:
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -119,6 +119,7 @@
         self._by_cookie: dict[int, KnownTarget] = {}
         self._by_service: dict[ServiceName, list[KnownTarget]] = {}
         self._by_endpoint: dict[Endpoint, KnownTarget] = {}
+        self._removed: dict[TargetName, KnownTarget] = {}
 
     def __iter__(self) -> Iterator[KnownTarget]:
         return iter(self._by_name.values())
@@ -157,6 +158,7 @@
             return False
         was_draining = known.published.phase is TargetPhase.DRAINING
         known.update(now_ms, replace(known.published, phase=TargetPhase.REMOVED, cold_ms=0))
+        self._removed[name] = known
         if was_draining:
             # It announced its end, so no outage of the store explains the missing entry.
             known.phase_since_ms = now_ms - REMOVAL_GRACE_MS
@@ -173,8 +175,11 @@
 
     def forget_old(self, now_ms: int) -> None:
         """Drop removed targets that no flow can use any more."""
-        for known in list(self._by_name.values()):
-            if known.is_gone(now_ms) and now_ms - known.phase_since_ms > self._kept_ms:
+        for known in list(self._removed.values()):
+            if known.published.phase is not TargetPhase.REMOVED:
+                del self._removed[known.name]
+            elif now_ms - known.phase_since_ms > self._kept_ms:
+                del self._removed[known.name]
                 del self._by_name[known.name]
                 if self._by_cookie.get(known.cookie) is known:
                     del self._by_cookie[known.cookie]
--- a/packages/core/tests/direct/test_opens.py
+++ b/packages/core/tests/direct/test_opens.py
@@ -13,8 +13,9 @@
     TargetsListed,
     Tick,
 )
-from fuchsiaspread_core.direct.core import HELD_LIMIT, RELEASED_AT_ONCE, RETRIES_PER_OPEN
+from fuchsiaspread_core.direct.held_packets import HELD_LIMIT, RELEASED_AT_ONCE
 from fuchsiaspread_core.direct.notices import OpenRefusal, OpenRefused, TargetSuspected
+from fuchsiaspread_core.direct.open_path import RETRIES_PER_OPEN
 
 from .site import (
     CARD_ADDRESS,
