Check targets again whose entry lapsed while they were out of reach

After the partition its entry came back, and each request of its flows was reset for ever. Change: such targets stay in the list while the directory knows them.

--- a/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
@@ -55,10 +55,11 @@
         effects: list[DirectEffect] = []
         checked: set[ZoneName] = set()
         for known in list(self._unreachable.values()):
-            if not known.reach.is_unreachable or known.is_gone(now_ms):
+            if not known.reach.is_unreachable or self._targets.by_name(known.name) is not known:
                 del self._unreachable[known.name]
                 continue
-            if not known.reach.is_due(now_ms):
+            # A target whose entry lapsed during a partition may come back.
+            if not known.reach.is_due(now_ms) or known.is_gone(now_ms):
                 continue
             zone = known.published.zone
             if zone in checked:
--- a/packages/core/tests/direct/test_reach.py
+++ b/packages/core/tests/direct/test_reach.py
@@ -8,6 +8,7 @@
     ForwardPacket,
     TargetChecked,
     TargetPublished,
+    TargetRemoved,
     Tick,
 )
 from fuchsiaspread_core.direct.reachability import (
@@ -146,6 +147,30 @@
         used = {self.site.open(number).target for number in range(30, 60)}
         self.assertIn(placed.target, used)
 
+    def test_target_that_comes_back_after_its_entry_lapsed_is_checked_again(self) -> None:
+        """Guards against resets for ever after a partition that outlasted the target's entry.
+
+        Found by deploy/days/partition-with-reused-addresses on glenfixer-lb (rule FLOW).
+        """
+        placed = self._request(1)
+        self.site.take(flow_packet(1, placed.cookie, 1, 500, 100), 200)
+        self._fail(placed)
+        self.site.take(TargetRemoved(placed.target))
+        for _ in range(20):
+            self.site.checked.clear()
+            self.site.take(Tick(), 200)
+            for name in self.site.checked:
+                self.site.take(TargetChecked(name, CheckOutcome.TIMED_OUT))
+        self.site.checked.clear()
+        number = int(placed.target.removeprefix("i-"), 16)
+        self.site.take(TargetPublished(target(number)))
+        for _ in range(10):
+            self.site.take(Tick(), 200)
+        self.assertIn(placed.target, self.site.checked)
+        self.site.take(TargetChecked(placed.target, CheckOutcome.CONNECTED))
+        (forward,) = self.site.take(flow_packet(2, placed.cookie, 1, 500, 100))
+        self.assertIsInstance(forward, ForwardPacket)
+
     def test_first_packet_of_a_foreign_flow_clears_no_suspicion(self) -> None:
         """Guards against taking a packet that another entry VM's flow brought for an answer."""
         placed = self.site.open(1)
