--- a/packages/bench/src/fuchsiaspread_bench/__main__.py
+++ b/packages/bench/src/fuchsiaspread_bench/__main__.py
@@ -25,6 +25,7 @@
     "configuration",
     "control_bytes",
     "capacity",
+    "direct_capacity",
 )
 # These measure packets a second and run alone.
 LONE_MODULES = ("packets",)
