--- a/packages/standins/src/fuchsiaspread_standins/demo.py
+++ b/packages/standins/src/fuchsiaspread_standins/demo.py
@@ -109,12 +109,20 @@
                 problems.append(f"{numbered.text}: {failed.problem}")
         problems += [failed.problem for failed in await runner.finish()]
         counts = tally(await fleet.report())
+        problems += refusal_problems(counts)
         return Summary(demo.example, counts, await revisions(fleet), tuple(problems))
     finally:
         runner.close()
         await fleet.stop()
 
 
+def refusal_problems(counts: Tally) -> list[str]:
+    """Return a problem when requests were refused, since the demo's load is light."""
+    if counts.refused == 0:
+        return []
+    return [f"{counts.refused} requests of a light load were refused; look for open_refused"]
+
+
 def progress(report: SiteReport) -> str:
     """Return the state of the flows in one line."""
     counts, open_count = tally(report), report.callers.open_count
