Serve metrics, and run both daemons' tasks by one function

Cause: on-call engineers have logs and metrics only, and the daemon on the platform had no metrics. The two daemons ran their tasks by the same lines.

--- a/packages/core/src/fuchsiaspread_core/direct/flow_path.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_path.py
@@ -5,7 +5,7 @@
 from .events import CheckOutcome, FlowPacket
 from .evidence import note_answer
 from .flows import Flow, FlowPhase, is_after
-from .notices import DropReason, FlowReset, PacketDropped, ResetReason
+from .notices import DropReason, FlowReset, OpenAnswered, PacketDropped, ResetReason
 from .routes import RouteKind
 from .state import DirectState
 from .targets import KnownTarget
@@ -78,6 +78,8 @@
         if flow.phase is FlowPhase.OPENING:
             flow.confirm(event.sequence, event.acknowledges)
             effects += note_answer(now_ms, target)
+            waited_ms = now_ms - flow.opened_ms
+            effects.append(Notify(OpenAnswered(target.published.service, waited_ms)))
         if flow.sent_end is None:
             flow.sent_end, flow.acknowledged = event.sequence, event.acknowledges
         if is_after(event.acknowledges, flow.acknowledged):
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -30,6 +30,7 @@
         "copies",
         "key",
         "open_packet",
+        "opened_ms",
         "phase",
         "repeats",
         "route",
@@ -48,6 +49,7 @@
         self.tried: list[TargetName] = []
         self.open_packet = b""
         self.copies = 0
+        self.opened_ms = now_ms
         self.attempt_ms = now_ms
         self.seen_ms = now_ms
         self.busy_since_ms: int | None = None
--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -44,6 +44,14 @@
     open_flows: int
 
 
+@dataclass(frozen=True, slots=True)
+class OpenAnswered:
+    """Tell that a caller has a target's acceptance, and how long after the open."""
+
+    service: ServiceName
+    waited_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class OpenRefused:
     """Tell that an open was refused before any target saw it."""
@@ -122,6 +130,7 @@
 
 DirectNotice = (
     OpenPlaced
+    | OpenAnswered
     | OpenRefused
     | FlowReset
     | PacketDropped
--- a/packages/core/src/fuchsiaspread_core/direct/placement.py
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -46,5 +46,5 @@
 
     def load(self, now_ms: int, known: KnownTarget) -> float:
         """Return the load of a target after one more open, in requests a slot."""
-        busy = known.busy_requests + known.peer_busy_requests + 1
+        busy = known.busy_requests + 1
         return (busy + OPEN_FLOW_LOAD * known.open_flows) / known.capacity(now_ms)
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -57,7 +57,6 @@
         "cookie",
         "health",
         "open_flows",
-        "peer_busy_requests",
         "phase_since_ms",
         "published",
         "reach",
@@ -70,7 +69,6 @@
         self.reach = Reachability()
         self.busy_requests = 0
         self.open_flows = 0
-        self.peer_busy_requests = 0
         self.phase_since_ms = now_ms
         self.cold_until_ms = now_ms + published.cold_ms
 
--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -14,6 +14,7 @@
 from .internal.log import Level, Log, level_of
 from .internal.mailboxes import Mailboxes
 from .internal.task_messages import EventsReceived, KeysChanged, TransfersAwaited
+from .internal.task_runner import run_until_stopped
 from .tasks.admin_task import AdminTask
 from .tasks.core_task import CoreTask, Identity
 from .tasks.fabric_task import FabricTask
@@ -98,21 +99,7 @@
             self._platform,
             self._load,
         )
-        tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
-        stopped = asyncio.create_task(self._stopped.wait())
-        try:
-            # A task that ends by an error ends the daemon: a part of it would only look alive.
-            await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in (stopped, *tasks):
-                task.cancel()
-            outcomes = await asyncio.gather(*tasks, return_exceptions=True)
-        failed = [outcome for outcome in outcomes if isinstance(outcome, Exception)]
-        for task, outcome in zip(tasks, outcomes, strict=True):
-            if isinstance(outcome, Exception):
-                fields = {"task": task.get_name(), "cause": repr(outcome)}
-                self._log.write(Level.ERROR, "task_failed", **fields)
-        return not failed
+        return await run_until_stopped(parts, self._stopped, self._log)
 
     def stop(self) -> None:
         """Begin a graceful stop; a second call has no effect."""
--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterator, Sequence
+from copy import deepcopy
 
 from fuchsiaspread_core.direct import (
     CheckTarget,
@@ -10,11 +11,14 @@
     DirectEvent,
     Notify,
     StopRequested,
+    StoreReached,
     Tick,
 )
 
+from .direct_counts import DirectCounts
 from .messages import (
     CheckAsked,
+    CountsAsked,
     DirectMailboxes,
     EventsReceived,
     PacketsReady,
@@ -47,6 +51,7 @@
         self._notices = notices
         self._now_ms = now_ms
         self._on_stop = on_stop
+        self._counts = DirectCounts()
         self._is_ready = False
         self._timer: asyncio.TimerHandle | None = None
         self._timer_ms = 0
@@ -57,14 +62,27 @@
             while True:
                 self._set_timer()
                 for message in await self._mailbox.take():
-                    for events in _slices(message.events):
-                        self._handle(events)
-                        # What was decided is sent, and what has come is read, before the rest.
-                        await asyncio.sleep(0)
+                    match message:
+                        case EventsReceived(events=events):
+                            await self._handle_all(events)
+                        case CountsAsked(reply=reply):
+                            if not reply.done():
+                                reply.set_result(self._copy_counts())
         finally:
             if self._timer is not None:
                 self._timer.cancel()
 
+    async def _handle_all(self, events: Sequence[DirectEvent]) -> None:
+        for some in _slices(events):
+            self._handle(some)
+            # What was decided is sent, and what has come is read, before the rest.
+            await asyncio.sleep(0)
+
+    def _copy_counts(self) -> DirectCounts:
+        self._counts.flow_count = self._core.flow_count
+        self._counts.is_ready = self._core.is_ready
+        return deepcopy(self._counts)
+
     def _handle(self, events: Sequence[DirectEvent]) -> None:
         sent: list[DirectEffect] = []
         now_ms = self._now_ms()
@@ -72,13 +90,17 @@
             for effect in self._core.handle(now_ms, event):
                 match effect:
                     case Notify(notice=notice):
+                        self._counts.note(notice)
                         self._notices.write(notice)
                     case CheckTarget():
                         self._checks.put(CheckAsked(effect))
                     case _:
                         sent.append(effect)
-            if isinstance(event, StopRequested):
-                self._on_stop()
+            match event:
+                case StopRequested():
+                    self._on_stop()
+                case StoreReached(is_reachable=True):
+                    self._counts.store_answered_ms = now_ms
         if sent:
             self._packets.put(PacketsReady(sent))
         if self._core.is_ready != self._is_ready:
@@ -101,6 +123,7 @@
 
     def _tick(self) -> None:
         self._timer = None
+        self._counts.timer_lags.add(max(0, self._now_ms() - self._timer_ms))
         self._mailbox.put(EventsReceived([Tick()]))
 
 
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -9,10 +9,12 @@
 
 from ..internal.clock import now_ms
 from ..internal.log import Level, Log
+from ..internal.task_runner import run_until_stopped
 from .check_task import CheckTask
 from .core_task import CoreTask
 from .log_task import LogTask
 from .messages import DirectMailboxes, EventsReceived
+from .metrics_task import MetricsTask
 from .notice_log import NoticeLog
 from .packet_task import PacketCodec, PacketTask
 from .published_store import PublishedKeys
@@ -32,6 +34,7 @@
 
     packets: socket
     readiness: socket
+    metrics: socket
 
 
 class DirectDaemon:
@@ -55,6 +58,7 @@
         self._packets = PacketTask(sockets.packets, codec, mailboxes, log)
         self._readiness = ReadinessTask(sockets.readiness, settings.readiness_path, mailboxes)
         self._store = StoreTask(keys, seed, mailboxes, log)
+        self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms)
         self._checks = CheckTask(mailboxes, now_ms)
         core = DirectCore(seed, settings.flow_lifetime_ms)
         self._core = CoreTask(core, mailboxes, NoticeLog(log), now_ms, self._leave)
@@ -67,25 +71,10 @@
             self._core,
             self._checks,
             self._store,
+            self._metrics,
             self._output,
         )
-        tasks = [asyncio.create_task(part.run(), name=type(part).__name__) for part in parts]
-        stopped = asyncio.create_task(self._stopped.wait())
-        try:
-            # A task that ends by an error ends the daemon: a part of it would only look alive.
-            await asyncio.wait([stopped, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for task in (stopped, *tasks):
-                task.cancel()
-            outcomes = await asyncio.gather(*tasks, return_exceptions=True)
-        is_graceful = True
-        for task, outcome in zip(tasks, outcomes, strict=True):
-            if isinstance(outcome, Exception):
-                is_graceful = False
-                self._log.write(
-                    Level.ERROR, "task_failed", task=task.get_name(), cause=repr(outcome)
-                )
-        return is_graceful
+        return await run_until_stopped(parts, self._stopped, self._log)
 
     def stop(self) -> None:
         """Begin a graceful stop."""
--- a/packages/entry/src/fuchsiaspread_entry/direct/messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/messages.py
@@ -1,11 +1,13 @@
 """Messages between the tasks of the direct daemon, and their mailboxes."""
 
+import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from fuchsiaspread_core.direct import CheckTarget, DirectEffect, DirectEvent
 
 from ..internal.mailbox import Mailbox
+from .direct_counts import DirectCounts
 
 # About a second of packets at full rate; later ones would be too late for their callers.
 MAILBOX_LIMIT = 10_000
@@ -18,6 +20,16 @@
     events: Sequence[DirectEvent]
 
 
+@dataclass(frozen=True, slots=True)
+class CountsAsked:
+    """Ask the core task for a copy of its counts."""
+
+    reply: asyncio.Future[DirectCounts]
+
+
+CoreMessage = EventsReceived | CountsAsked
+
+
 @dataclass(frozen=True, slots=True)
 class PacketsReady:
     """Hand effects that send packets to the packet task."""
@@ -47,7 +59,7 @@
 class DirectMailboxes:
     """Hold one mailbox for each task of the daemon."""
 
-    core: Mailbox[EventsReceived] = field(default_factory=_mailbox)
+    core: Mailbox[CoreMessage] = field(default_factory=_mailbox)
     packets: Mailbox[PacketsReady] = field(default_factory=_mailbox)
     checks: Mailbox[CheckAsked] = field(default_factory=_mailbox)
     readiness: Mailbox[ReadinessChanged] = field(default_factory=_mailbox)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
@@ -0,0 +1,55 @@
+"""Task that serves the metrics over HTTP."""
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from socket import socket
+
+from tornado.httputil import HTTPServerRequest
+
+from .direct_counts import DirectCounts
+from .http_answers import respond, start_server
+from .messages import CountsAsked, DirectMailboxes
+
+METRICS_PATH = "/metrics"
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+ANSWER_TIMEOUT_S = 2.0
+
+
+class MetricsTask:
+    """Own the HTTP server of the metrics address; the counts belong to the core task."""
+
+    def __init__(
+        self, bound: socket, mailboxes: DirectMailboxes, now_ms: Callable[[], int]
+    ) -> None:
+        self._socket = bound
+        self._core = mailboxes.core
+        self._now_ms = now_ms
+        self._requests: asyncio.Queue[HTTPServerRequest] = asyncio.Queue()
+
+    async def run(self) -> None:
+        """Answer until cancelled, one request after the other."""
+        server = start_server(self._socket, self._requests.put_nowait)
+        try:
+            while True:
+                await self._answer(await self._requests.get())
+        finally:
+            server.stop()
+            await server.close_all_connections()
+
+    async def _answer(self, request: HTTPServerRequest) -> None:
+        if request.path != METRICS_PATH:
+            respond(request, HTTPStatus.NOT_FOUND)
+            return
+        reply: asyncio.Future[DirectCounts] = asyncio.get_running_loop().create_future()
+        self._core.put(CountsAsked(reply))
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                counts = await reply
+        except TimeoutError:
+            respond(request, HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        # Loaded with the first question, since the daemon's start must be short.
+        from .metrics_text import metrics_text
+
+        respond(request, HTTPStatus.OK, metrics_text(counts, self._now_ms()), CONTENT_TYPE)
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -0,0 +1,98 @@
+"""The counts in the Prometheus text format."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from .direct_counts import BOUNDS_MS, DirectCounts, Histogram
+
+MS_PER_SECOND = 1000
+
+
+def metrics_text(counts: DirectCounts, now_ms: int) -> bytes:
+    """Return all metrics."""
+    registry = CollectorRegistry()
+    registry.register(_Counts(counts, now_ms))
+    return generate_latest(registry)
+
+
+class _Counts(Collector):
+    def __init__(self, counts: DirectCounts, now_ms: int) -> None:
+        self._counts = counts
+        self._now_ms = now_ms
+
+    def collect(self) -> Iterator[Metric]:
+        """Return each metric with its samples."""
+        counts = self._counts
+        yield self._opens()
+        yield _by_reason("opens_refused", "Opens answered with a reset.", counts.opens_refused)
+        yield _by_reason("flows_reset", "Open flows reset to their callers.", counts.flows_reset)
+        yield _by_reason("packets_dropped", "Packets dropped.", counts.packets_dropped)
+        yield _total(
+            "targets_suspected", "Targets that left an open open.", counts.targets_suspected
+        )
+        yield _total(
+            "targets_unreachable", "Targets found out of reach.", counts.targets_unreachable
+        )
+        yield _total("pauses", "Times that the process stood still.", counts.pauses)
+        yield _gauge("flows_recorded", "Flow records held.", counts.flow_count)
+        yield _gauge("ready", "1 while this VM takes packets.", int(counts.is_ready))
+        if counts.store_answered_ms is not None:
+            age_s = (self._now_ms - counts.store_answered_ms) / MS_PER_SECOND
+            yield _gauge("store_age_seconds", "Time since the store's last answer.", age_s)
+        yield self._answer_times()
+        lags = HistogramMetricFamily(
+            "fuchsiaspread_timer_lag_seconds", "How late the event loop ran a timer."
+        )
+        lags.add_metric([], *_buckets(counts.timer_lags))
+        yield lags
+
+    def _opens(self) -> Metric:
+        family = CounterMetricFamily(
+            "fuchsiaspread_opens_placed", "Opens sent to a target.", labels=["service", "retry"]
+        )
+        for (service, is_retry), count in self._counts.opens_placed.items():
+            family.add_metric([service, str(is_retry).lower()], count)
+        return family
+
+    def _answer_times(self) -> Metric:
+        family = HistogramMetricFamily(
+            "fuchsiaspread_open_answer_seconds",
+            "Time from an open to its caller's next packet.",
+            labels=["service"],
+        )
+        for service, histogram in self._counts.answer_times.items():
+            family.add_metric([service], *_buckets(histogram))
+        return family
+
+
+def _by_reason(name: str, text: str, counts: Counter[str]) -> Metric:
+    family = CounterMetricFamily(f"fuchsiaspread_{name}", text, labels=["reason"])
+    for reason, count in counts.items():
+        family.add_metric([str(reason)], count)
+    return family
+
+
+def _total(name: str, text: str, count: int) -> Metric:
+    return CounterMetricFamily(f"fuchsiaspread_{name}", text, value=count)
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"fuchsiaspread_{name}", text, value=value)
+
+
+def _buckets(histogram: Histogram) -> tuple[list[tuple[str, float]], float]:
+    bounds = [str(bound / MS_PER_SECOND) for bound in BOUNDS_MS] + ["+Inf"]
+    below, buckets = 0, []
+    for bound, count in zip(bounds, histogram.counts, strict=True):
+        below += count
+        buckets.append((bound, float(below)))
+    return buckets, histogram.sum_ms / MS_PER_SECOND
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -5,6 +5,7 @@
 from fuchsiaspread_core.direct.notices import (
     DirectNotice,
     FlowReset,
+    OpenAnswered,
     OpenPlaced,
     OpenRefused,
     PacketDropped,
@@ -42,6 +43,9 @@
 
     def write(self, notice: DirectNotice) -> None:
         """Write one notice."""
+        if isinstance(notice, OpenAnswered):
+            # Each open would have a second line; the metrics hold these times.
+            return
         event, level = LINES[type(notice)]
         values = {field.name: getattr(notice, field.name) for field in fields(notice)}
         if "flow" in values:
--- a/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
@@ -1,17 +1,13 @@
 """Task that tells the fabric over HTTP whether this entry VM takes packets."""
 
+from http import HTTPStatus
 from socket import socket
 
-from fuchsiaspread_core.identifiers import Endpoint
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 
+from .http_answers import respond, start_server
 from .messages import DirectMailboxes
 
-MAX_REQUEST_BYTES = 8 * 1024
-IDLE_TIMEOUT_S = 30
-READY, NOT_READY, NOT_FOUND = (200, "OK"), (503, "Service Unavailable"), (404, "Not Found")
-
 
 class ReadinessTask:
     """Own the HTTP server of the readiness address."""
@@ -22,20 +18,9 @@
         self._is_ready = False
         self._socket = bound
 
-    @property
-    def address(self) -> Endpoint:
-        """Return the bound address."""
-        return Endpoint(*self._socket.getsockname())
-
     async def run(self) -> None:
         """Answer until cancelled."""
-        server = HTTPServer(
-            self._answer,
-            max_body_size=MAX_REQUEST_BYTES,
-            max_header_size=MAX_REQUEST_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
-        )
-        server.add_socket(self._socket)
+        server = start_server(self._socket, self._answer)
         try:
             while True:
                 for message in await self._mailbox.take():
@@ -46,11 +31,8 @@
 
     def _answer(self, request: HTTPServerRequest) -> None:
         if request.path != self._path:
-            code, reason = NOT_FOUND
+            respond(request, HTTPStatus.NOT_FOUND)
+        elif self._is_ready:
+            respond(request, HTTPStatus.OK)
         else:
-            code, reason = READY if self._is_ready else NOT_READY
-        connection = request.connection
-        assert connection is not None
-        start_line = ResponseStartLine("HTTP/1.1", code, reason)
-        connection.write_headers(start_line, HTTPHeaders({"Content-Length": "0"}))
-        connection.finish()
+            respond(request, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/packages/entry/src/fuchsiaspread_entry/direct/settings.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/settings.py
@@ -14,4 +14,5 @@
     packets: Endpoint
     readiness: Endpoint
     readiness_path: str
+    metrics: Endpoint
     flow_lifetime_ms: int
