Let no lost outcome and no unknown start mislead the reach of targets

Cause: read in review: a target out of reach whose check brought no outcome was never checked again, and two targets at one address that both tell no start replaced each other in the order of a list. Change: a check without an outcome for 3 s counts as inconclusive; only a later start replaces a target at its address.

--- a/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reach_watch.py
@@ -58,6 +58,8 @@
             if not known.reach.is_unreachable or self._targets.by_name(known.name) is not known:
                 del self._unreachable[known.name]
                 continue
+            if known.reach.has_lost_check(now_ms):
+                known.reach.note(now_ms, Sign.INCONCLUSIVE)
             # A target whose entry lapsed during a partition may come back.
             if not known.reach.is_due(now_ms) or known.is_gone(now_ms):
                 continue
--- a/packages/core/src/fuchsiaspread_core/direct/reachability.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability.py
@@ -6,6 +6,8 @@
 SETTLED_MS = 500
 FIRST_RECHECK_MS = 500
 MAX_RECHECK_MS = 1_000
+# The outcome of a check comes within a fraction of this, or it was lost.
+CHECK_LIFETIME_MS = 3_000
 
 
 class Reach(StrEnum):
@@ -49,13 +51,14 @@
 class Reachability:
     """Follow one target; a check runs while the state is one of `CHECKING_STATES`."""
 
-    __slots__ = ("_recheck_ms", "due_ms", "settled_ms", "state")
+    __slots__ = ("_checked_ms", "_recheck_ms", "due_ms", "settled_ms", "state")
 
     def __init__(self) -> None:
         self.state = Reach.REACHABLE
         self.settled_ms = -SETTLED_MS
         self.due_ms = 0
         self._recheck_ms = FIRST_RECHECK_MS
+        self._checked_ms = 0
 
     @property
     def is_unreachable(self) -> bool:
@@ -66,6 +69,10 @@
         """Return whether an unreachable target is to be checked again."""
         return self.state is Reach.UNREACHABLE and now_ms >= self.due_ms
 
+    def has_lost_check(self, now_ms: int) -> bool:
+        """Return whether a check of an unreachable target never brought an outcome."""
+        return self.state is Reach.RECHECKING and now_ms - self._checked_ms >= CHECK_LIFETIME_MS
+
     def postpone(self, now_ms: int) -> None:
         """Leave the next check to another target of the same zone."""
         self.due_ms = now_ms + FIRST_RECHECK_MS
@@ -86,5 +93,6 @@
                 self.due_ms = now_ms + self._recheck_ms
                 self._recheck_ms = min(MAX_RECHECK_MS, self._recheck_ms * 2)
             case Reach.CHECKING | Reach.RECHECKING:
+                self._checked_ms = now_ms
                 return True
         return False
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -194,7 +194,7 @@
             self._by_cookie[known.cookie] = known
         self._by_service.setdefault(published.service, []).append(known)
         former = self._by_endpoint.get(published.endpoint)
-        if former is None or former.published.started_ms <= published.started_ms:
+        if former is None or former.published.started_ms < published.started_ms:
             self._by_endpoint[published.endpoint] = known
             self._supersede(now_ms, former)
 
--- a/packages/core/tests/direct/test_reach.py
+++ b/packages/core/tests/direct/test_reach.py
@@ -189,6 +189,24 @@
         effects = self.site.take(flow_packet(1, placed.cookie, 1, 500, 100), 200)
         self.assertTrue(is_reset_of(effects, 1))
 
+    def test_targets_of_unknown_start_do_not_replace_each_other(self) -> None:
+        """Guards against taking a living target for gone by the order of a list."""
+        site = Site((target(1, started_ms=0), target(2, started_ms=0, endpoint=target(1).endpoint)))
+        for known in site.core.targets:
+            self.assertFalse(known.is_gone(site.now_ms), known.name)
+
+    def test_lost_outcome_of_a_check_is_not_waited_for(self) -> None:
+        """Guards against a target that stays out of reach since one outcome was dropped."""
+        placed = self.site.open(1)
+        self.site.take(Tick(), 60)
+        self._fail(placed)
+        for _ in range(5):
+            self.site.take(Tick(), 200)
+        self.site.checked.clear()
+        for _ in range(25):
+            self.site.take(Tick(), 200)
+        self.assertIn(placed.target, self.site.checked)
+
 
 class TransitionsTest(unittest.TestCase):
     def test_each_state_is_left_again(self) -> None:
