--- a/packages/entry/src/fuchsiaspread_entry/direct/http_answers.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/http_answers.py
@@ -1,18 +1,28 @@
 """The small HTTP servers of the direct daemon."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 from socket import socket
+from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+if TYPE_CHECKING:
+    from tornado.httpserver import HTTPServer
+    from tornado.httputil import HTTPServerRequest
 
 MAX_REQUEST_BYTES = 8 * 1024
 IDLE_TIMEOUT_S = 30
+# Loading the HTTP library holds a slow VM up for 0.1 s; packets that waited for its start go first.
+START_DELAY_S = 0.3
 
 
-def start_server(bound: socket, answer: Callable[[HTTPServerRequest], None]) -> HTTPServer:
-    """Return a running server that accepts on a bound socket."""
+async def start_server(
+    bound: socket, answer: Callable[["HTTPServerRequest"], None]
+) -> "HTTPServer":
+    """Return a running server that accepts on a bound socket; requests wait in it until then."""
+    await asyncio.sleep(START_DELAY_S)
+    from tornado.httpserver import HTTPServer
+
     server = HTTPServer(
         answer,
         max_body_size=MAX_REQUEST_BYTES,
@@ -24,9 +34,11 @@
 
 
 def respond(
-    request: HTTPServerRequest, status: HTTPStatus, body: bytes = b"", content_type: str = ""
+    request: "HTTPServerRequest", status: HTTPStatus, body: bytes = b"", content_type: str = ""
 ) -> None:
     """Answer a request and finish it."""
+    from tornado.httputil import HTTPHeaders, ResponseStartLine
+
     connection = request.connection
     assert connection is not None
     headers = HTTPHeaders({"Content-Length": str(len(body))})
--- /dev/null
+++ b/packages/entry/src/fuchsiaspread_entry/direct/http_client.py
@@ -0,0 +1,90 @@
+"""HTTP GET over a connection of its own, for the calls of the store.
+
+Loading an HTTP client of the usual size takes a sixth of the daemon's start, which callers wait
+for after a restart; a parser and the event loop's streams are enough here.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from fuchsiaspread_core.identifiers import Endpoint
+from httptools import HttpParserError, HttpResponseParser
+
+CHUNK_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Hold a whole answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HttpFailed:
+    """Tell that no whole answer came."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bound one call."""
+
+    connect_timeout_s: float
+    timeout_s: float
+    body_bytes: int
+
+
+async def http_get(server: Endpoint, path: str, limits: HttpLimits) -> HttpAnswer | HttpFailed:
+    """Return the answer to a GET request; redirects are not followed."""
+    try:
+        async with asyncio.timeout(limits.timeout_s):
+            return await _call(server, path, limits)
+    except TimeoutError:
+        return HttpFailed("no answer in time")
+    except (OSError, HttpParserError) as error:
+        return HttpFailed(str(error) or type(error).__name__)
+
+
+async def _call(server: Endpoint, path: str, limits: HttpLimits) -> HttpAnswer | HttpFailed:
+    connecting = asyncio.open_connection(server.host, server.port)
+    try:
+        reader, writer = await asyncio.wait_for(connecting, limits.connect_timeout_s)
+    except TimeoutError:
+        return HttpFailed("no connection in time")
+    try:
+        head = f"GET {path} HTTP/1.1\r\nHost: {server.host}:{server.port}\r\nConnection: close"
+        writer.write(f"{head}\r\n\r\n".encode("ascii"))
+        return await _read_answer(reader, limits.body_bytes)
+    finally:
+        # Nothing more is to be sent; a graceful end would wait for a peer that may be gone.
+        writer.transport.abort()
+
+
+async def _read_answer(reader: asyncio.StreamReader, limit_bytes: int) -> HttpAnswer | HttpFailed:
+    received = _Received()
+    parser = HttpResponseParser(received)
+    while not received.is_complete:
+        chunk = await reader.read(CHUNK_BYTES)
+        if not chunk:
+            return HttpFailed("the connection ended before the answer did")
+        parser.feed_data(chunk)
+        if len(received.body) > limit_bytes:
+            return HttpFailed(f"the answer is longer than {limit_bytes} bytes")
+    return HttpAnswer(parser.get_status_code(), bytes(received.body))
+
+
+class _Received:
+    """Collect what the parser reports."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.is_complete = False
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        self.is_complete = True
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
@@ -4,13 +4,15 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from socket import socket
-
-from tornado.httputil import HTTPServerRequest
+from typing import TYPE_CHECKING
 
 from .direct_counts import DirectCounts
 from .http_answers import respond, start_server
 from .messages import CountsAsked, DirectMailboxes
 
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
 METRICS_PATH = "/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 ANSWER_TIMEOUT_S = 2.0
@@ -29,7 +31,7 @@
 
     async def run(self) -> None:
         """Answer until cancelled, one request after the other."""
-        server = start_server(self._socket, self._requests.put_nowait)
+        server = await start_server(self._socket, self._requests.put_nowait)
         try:
             while True:
                 await self._answer(await self._requests.get())
@@ -37,7 +39,7 @@
             server.stop()
             await server.close_all_connections()
 
-    async def _answer(self, request: HTTPServerRequest) -> None:
+    async def _answer(self, request: "HTTPServerRequest") -> None:
         if request.path != METRICS_PATH:
             respond(request, HTTPStatus.NOT_FOUND)
             return
--- a/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/readiness_task.py
@@ -2,12 +2,14 @@
 
 from http import HTTPStatus
 from socket import socket
-
-from tornado.httputil import HTTPServerRequest
+from typing import TYPE_CHECKING
 
 from .http_answers import respond, start_server
 from .messages import DirectMailboxes
 
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPServerRequest
+
 
 class ReadinessTask:
     """Own the HTTP server of the readiness address."""
@@ -20,7 +22,7 @@
 
     async def run(self) -> None:
         """Answer until cancelled."""
-        server = start_server(self._socket, self._answer)
+        server = await start_server(self._socket, self._answer)
         try:
             while True:
                 for message in await self._mailbox.take():
@@ -29,7 +31,7 @@
             server.stop()
             await server.close_all_connections()
 
-    def _answer(self, request: HTTPServerRequest) -> None:
+    def _answer(self, request: "HTTPServerRequest") -> None:
         if request.path != self._path:
             respond(request, HTTPStatus.NOT_FOUND)
         elif self._is_ready:
--- /dev/null
+++ b/packages/entry/tests/direct/test_http_client.py
@@ -0,0 +1,104 @@
+"""HTTP calls of the store against a server that answers with given bytes."""
+
+import asyncio
+import unittest
+
+from fuchsiaspread_core.identifiers import Endpoint
+from fuchsiaspread_entry.direct.http_client import HttpAnswer, HttpFailed, HttpLimits, http_get
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+LIMITS = HttpLimits(connect_timeout_s=2.0, timeout_s=5.0, body_bytes=1_000)
+HOST = "127.0.0.1"
+COUNTED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+
+
+class Server:
+    """Answer each connection with the same pieces, then close it."""
+
+    def __init__(self, *pieces: bytes, is_silent: bool = False) -> None:
+        self.requests: list[bytes] = []
+        self._pieces = pieces
+        self._is_silent = is_silent
+
+    async def get(self, limits: HttpLimits = LIMITS) -> HttpAnswer | HttpFailed:
+        """Return what the client makes of the answer."""
+        server = await asyncio.start_server(self._serve, HOST, 0)
+        async with server:
+            host, port = server.sockets[0].getsockname()
+            return await http_get(Endpoint(host, port), "/items?prefix=a%2Fb", limits)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+            for piece in self._pieces:
+                writer.write(piece)
+                await writer.drain()
+            if self._is_silent:
+                # The client gives up and closes the connection.
+                await reader.read()
+        except ConnectionError:
+            return
+        finally:
+            writer.close()
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_request_names_path_and_host(self) -> None:
+        """Guards against a query that is lost, and a request that a server refuses."""
+        server = Server(COUNTED)
+        self.assertEqual(await server.get(), HttpAnswer(200, b"hello"))
+        (request,) = server.requests
+        self.assertTrue(request.startswith(b"GET /items?prefix=a%2Fb HTTP/1.1\r\nHost: 127.0.0.1:"))
+
+    async def test_chunked_answer_in_pieces_is_whole(self) -> None:
+        """Guards against a body that ends at the first packet."""
+        pieces = [CHUNKED[at : at + 7] for at in range(0, len(CHUNKED), 7)]
+        self.assertEqual(await Server(*pieces).get(), HttpAnswer(200, b"hello"))
+
+    async def test_status_is_reported(self) -> None:
+        """Guards against a refusal that is read as an answer."""
+        answer = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+        self.assertEqual(await Server(answer).get(), HttpAnswer(429, b""))
+
+    async def test_answer_cut_short_is_a_failure(self) -> None:
+        """Guards against half of a list that is taken as the whole."""
+        outcome = await Server(COUNTED[:-2]).get()
+        assert isinstance(outcome, HttpFailed), outcome
+        self.assertIn("ended before", outcome.cause)
+
+    async def test_bytes_that_are_no_answer_are_a_failure(self) -> None:
+        """Guards against an exception of the parser that ends the store task."""
+        self.assertIsInstance(await Server(b"what is this\r\n\r\n").get(), HttpFailed)
+
+    async def test_long_answer_is_a_failure(self) -> None:
+        """Guards against a body that exhausts the VM's memory."""
+        body = b"x" * (LIMITS.body_bytes + 1)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        outcome = await Server(head + body).get()
+        assert isinstance(outcome, HttpFailed), outcome
+        self.assertIn("1000 bytes", outcome.cause)
+
+    async def test_silent_server_is_given_up(self) -> None:
+        """Guards against a call that waits for ever on a connection that went silent."""
+        limits = HttpLimits(connect_timeout_s=2.0, timeout_s=0.05, body_bytes=1_000)
+        outcome = await Server(COUNTED[:10], is_silent=True).get(limits)
+        self.assertEqual(outcome, HttpFailed("no answer in time"))
+
+    async def test_refused_connection_is_a_failure(self) -> None:
+        """Guards against an exception when the store is down."""
+        server = await asyncio.start_server(lambda reader, writer: None, HOST, 0)
+        host, port = server.sockets[0].getsockname()
+        server.close()
+        await server.wait_closed()
+        self.assertIsInstance(await http_get(Endpoint(host, port), "/", LIMITS), HttpFailed)
+
+
+class ArbitraryAnswerTest(unittest.TestCase):
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.binary(max_size=80), st.sampled_from((b"", b"HTTP/1.1 200 OK\r\n", COUNTED)))
+    def test_any_bytes_end_in_an_outcome(self, content: bytes, start: bytes) -> None:
+        """Guards against an answer of another server that stops the daemon."""
+        outcome = asyncio.run(Server(start + content).get())
+        self.assertIsInstance(outcome, HttpAnswer | HttpFailed)
