Learn how long targets take to answer an open

Cause: an open counted as silent after a fixed 250 ms. Change: the limit follows the answer times seen (mean plus four deviations, as RFC 6298, 250 ms at least, a quarter of the caller's time at most), and an answer that comes late clears its target and counts as a sample.

--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -120,6 +120,10 @@
         decisions.append(self._retry(now_ms, opening))
         return decisions + self._serve(now_ms)
 
+    def note_late_accept(self, now_ms: int, flow: FlowKey, target: TargetName) -> None:
+        """Note that a target answered an open after the open had gone to another one."""
+        self._outcomes.note_late_accept(now_ms, flow, target)
+
     def cancel(self, now_ms: int, flow: FlowKey) -> list[Decision]:
         """Note that the caller left; the slot stays busy until the target is known to be free."""
         self._queue.remove(flow)
--- a/packages/core/src/fuchsiaspread_core/internal/admitted_flows.py
+++ b/packages/core/src/fuchsiaspread_core/internal/admitted_flows.py
@@ -5,15 +5,14 @@
 from ..configuration import AddressKind, RequestKind, StreamKind
 from ..decisions import OpenRequest
 from ..identifiers import FlowKey
+from .answer_time import AnswerTime
 from .held_slots import HeldSlot
 from .lanes import Lane
 from .open_queue import PendingOpen
 from .target_load import TargetLoad
 
-# A SYN-ACK comes from the target's kernel within a round trip of a few ms; a quarter of the
-# time that the caller allows leaves room for two more targets.
-OPEN_ANSWER_MS = 250
-OPEN_ANSWER_PARTS = 4
+# What waits to be read after a pause of this process has been read after so long.
+PAUSE_EXTENSION_MS = 250
 # How many deadlines the slot of a cancelled request stays busy without news of the target.
 HOLD_DEADLINES = 5
 
@@ -73,6 +72,7 @@
         self.running: dict[FlowKey, Running] = {}
         self.streams: dict[FlowKey, TargetLoad] = {}
         self.cancelled: dict[FlowKey, TargetLoad] = {}
+        self.answer_time = AnswerTime()
 
     def __contains__(self, flow: FlowKey) -> bool:
         return (
@@ -86,8 +86,8 @@
         """Count an open that is given to a target."""
         flow, kind = pending.request.flow, pending.request.kind
         assert flow not in self
-        answer_ms = min(OPEN_ANSWER_MS, time_allowed_ms(kind) // OPEN_ANSWER_PARTS)
-        self.openings[flow] = Opening(pending, load, now_ms, now_ms + max(1, answer_ms))
+        answer_ms = self.answer_time.limit_ms(time_allowed_ms(kind))
+        self.openings[flow] = Opening(pending, load, now_ms, now_ms + answer_ms)
         if pending.lane is Lane.STREAM:
             load.connections += 1
             load.opening_connections += 1
@@ -121,9 +121,9 @@
     def postpone(self, now_ms: int) -> None:
         """Allow the answers that are due time to be read after a pause of this process."""
         for opening in self.openings.values():
-            opening.answer_due_ms = max(opening.answer_due_ms, now_ms + OPEN_ANSWER_MS)
+            opening.answer_due_ms = max(opening.answer_due_ms, now_ms + PAUSE_EXTENSION_MS)
         for running in self.running.values():
-            running.due_ms = max(running.due_ms, now_ms + OPEN_ANSWER_MS)
+            running.due_ms = max(running.due_ms, now_ms + PAUSE_EXTENSION_MS)
 
     def drop_opening(self, flow: FlowKey) -> Opening | None:
         """Forget an open without an accept; its slot is free, since no request was sent."""
--- a/packages/core/src/fuchsiaspread_core/internal/open_path.py
+++ b/packages/core/src/fuchsiaspread_core/internal/open_path.py
@@ -19,7 +19,7 @@
 from ..identifiers import FlowKey, TargetName
 from ..notices import DropReason, FlowEnd, OpenRefused, RefusalReason
 from ..relay import MAX_RELAY_HOPS, RelayOpen, ShardKey
-from ..routing import AddressRoute
+from ..routing import AddressRoute, TargetRoute
 from .entry_state import EntryState, PendingOpen, drop
 
 # The caller token of a record that was learnt from a packet of an established flow.
@@ -79,6 +79,12 @@
             effects += self.apply(now_ms, pool.accept(now_ms, flow))
         return effects
 
+    def note_late_accept(self, now_ms: int, flow: FlowKey, route: TargetRoute) -> None:
+        """Note that a target answered an open that had gone to another one."""
+        pool = self._state.pools.get(route.shard)
+        if pool is not None:
+            pool.note_late_accept(now_ms, flow, route.target.name)
+
     def adopt(self, now_ms: int, record: FlowRecord) -> list[Effect]:
         """Store a record learnt from elsewhere; an open that still waits here is over."""
         former = self._state.table.record(record.flow)
--- a/packages/core/src/fuchsiaspread_core/internal/outcomes.py
+++ b/packages/core/src/fuchsiaspread_core/internal/outcomes.py
@@ -4,7 +4,7 @@
 from math import ceil
 
 from ..decisions import Decision, OpenFailure
-from ..identifiers import FlowKey
+from ..identifiers import FlowKey, TargetName
 from ..notices import FlowEnd
 from .admitted_flows import AdmittedFlows, Opening, Running
 from .held_slots import HeldSlot
@@ -16,6 +16,8 @@
 
 # A stream that the target resets within this time was not served.
 YOUNG_STREAM_MS = 1_000
+# Opens that count as silent and whose late answers are still recognised.
+SILENT_LIMIT = 1_000
 
 
 class Outcomes:
@@ -30,20 +32,38 @@
         self._history = history
         # Streams accepted within the last YOUNG_STREAM_MS, oldest first.
         self._young: OrderedDict[FlowKey, int] = OrderedDict()
+        # When opens that count as silent were given to a target, oldest first.
+        self._silent: OrderedDict[tuple[FlowKey, TargetName], int] = OrderedDict()
 
     def note_accept(self, now_ms: int, flow: FlowKey, opening: Opening) -> None:
         """Take a target's answer to an open."""
+        self._flows.answer_time.observe(now_ms - opening.admitted_ms)
         if flow in self._flows.streams:
             self._young[flow] = now_ms
         if opening.load.health.note_accept():
             opening.load.begin_slow_start(now_ms)
 
+    def note_late_accept(self, now_ms: int, flow: FlowKey, target: TargetName) -> None:
+        """Take an answer that came after its open had counted as silent."""
+        admitted_ms = self._silent.pop((flow, target), None)
+        load = self._view.get(target)
+        if admitted_ms is None or load is None:
+            return
+        self._flows.answer_time.observe(now_ms - admitted_ms)
+        if load.health.note_accept():
+            load.begin_slow_start(now_ms)
+
     def note_open_failure(
         self, now_ms: int, opening: Opening, failure: OpenFailure
     ) -> list[Decision]:
         """Take a target's silence or reset in place of an answer to an open."""
         health = opening.load.health
-        health.finish(opening.pending.request.flow)
+        flow = opening.pending.request.flow
+        health.finish(flow)
+        if failure is OpenFailure.SILENT:
+            self._silent[flow, opening.load.target.name] = opening.admitted_ms
+            if len(self._silent) > SILENT_LIMIT:
+                self._silent.popitem(last=False)
         if health.fail_open(now_ms):
             return self._view.eject(now_ms, opening.load, failure.value)
         return []
--- a/packages/core/src/fuchsiaspread_core/internal/reply_path.py
+++ b/packages/core/src/fuchsiaspread_core/internal/reply_path.py
@@ -83,6 +83,8 @@
         self, now_ms: int, event: TargetEvent, record: FlowRecord, route: TargetRoute, hops: int
     ) -> list[Effect]:
         """Act on a reply of another target than the record's."""
+        if isinstance(event, TargetAccept):
+            self._opens.note_late_accept(now_ms, event.flow, route)
         is_late_accept = isinstance(event, TargetAccept) and record.phase is Phase.OPENING
         if isinstance(event, TargetReset) or not (record.phase is Phase.ACCEPTED or is_late_accept):
             return drop(DropReason.LATE_ANSWER)
--- a/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
+++ b/packages/standins/src/fuchsiaspread_standins/in_memory/fleet.py
@@ -83,6 +83,8 @@
         self.sprayed: list[EntryName] = []
         self.loss_share = 0.0
         self.duplicate_share = 0.0
+        # Up to so much is each packet late, as between processes of a busy machine.
+        self.lateness_limit_ms = 0
         # Called with each message between entry VMs, for measurements.
         self.observe: Callable[[EntryName, SendToPeer | SendControl | SendRecords], None] = (
             lambda sender, effect: None
@@ -201,7 +203,8 @@
         """Let a packet arrive once, or, by chance, not at all or twice in any order."""
         if self._random.random() < self.loss_share:
             return
-        self.at(LINK_DELAY_MS, action)
+        lateness_ms = self._random.randint(0, self.lateness_limit_ms)
+        self.at(LINK_DELAY_MS + lateness_ms, action)
         if self._random.random() < self.duplicate_share:
             self.at(self._random.randint(LINK_DELAY_MS, DUPLICATE_DELAY_MS), action)
 
