Name requests in the lines about late, repeated and unanswered ones

Cause: a caller complains with a request id, and the lines knew flows only. Change: the core keeps the packet that began a request until it is answered and reports answers beyond the objective, repetitions and requests without an answer; the platform's codec reads the id from the request's head when a line is written, so the packet path does no search. Metrics gain a histogram of request times and counts of repeated and unanswered requests. A packet that was overtaken on its way no longer counts as a repetition.

--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -127,6 +127,6 @@
             for packet in self._held.take(now_ms):
                 effects += self._decide(now_ms, packet)
         effects += self._opens.retry_due(now_ms)
-        self._flows.expire(now_ms)
+        effects += self._flows.expire(now_ms)
         self.targets.forget_old(now_ms)
         return effects + self._state.reach.due(now_ms)
--- a/packages/core/src/fuchsiaspread_core/direct/flow_path.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_path.py
@@ -5,11 +5,25 @@
 from .events import CheckOutcome, FlowPacket
 from .evidence import note_answer
 from .flows import Flow, FlowPhase, is_after
-from .notices import DropReason, FlowReset, OpenAnswered, PacketDropped, ResetReason
+from .notices import (
+    DropReason,
+    FlowReset,
+    OpenAnswered,
+    PacketDropped,
+    RequestAnswered,
+    RequestEnd,
+    RequestRepeated,
+    RequestUnanswered,
+    ResetReason,
+)
 from .routes import RouteKind
 from .state import DirectState
 from .targets import KnownTarget
 
+# Callers repeat a packet after 200 ms at the earliest; an older one that comes sooner after a
+# newer one was overtaken on its way.
+REPEATED_AFTER_MS = 100
+
 
 class FlowPath:
     """Route packets by their cookie and take what they show of their targets."""
@@ -27,7 +41,7 @@
         route = state.routes.find(address_of(event.flow))
         if route is None:
             state.flows.remove(event.flow)
-            reset = FlowReset(event.flow, target.name, ResetReason.ROUTE_REMOVED)
+            reset = FlowReset(event.flow, target.name, ResetReason.ROUTE_REMOVED, b"")
             return [ResetCaller(event.flow, event.acknowledges), Notify(reset)]
         flow = state.flows.get(event.flow)
         if flow is None and event.data_bytes and not event.is_reset:
@@ -38,6 +52,8 @@
             if event.data_bytes and _is_lost(now_ms, flow, target):
                 return effects + self._reset(now_ms, flow, target, event.acknowledges)
             if event.is_reset or event.is_last:
+                end = RequestEnd.CALLER_RESET if event.is_reset else RequestEnd.CALLER_CLOSED
+                effects += _note_unanswered(now_ms, flow, end)
                 state.flows.remove(event.flow)
         endpoint = target.published.endpoint
         effects.append(ForwardPacket(target.name, endpoint, event.packet))
@@ -57,16 +73,20 @@
                     effects += self._reset(now_ms, flow, target, flow.acknowledged)
         return effects
 
-    def expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: int) -> list[DirectEffect]:
         """Forget some of the flows that are no longer used, and work that ended unseen."""
         if self._state.routes is None:
-            return
+            return []
+        effects: list[DirectEffect] = []
         idle_ms = self._state.routes.idle_timeout_ms
         for flow in list(self._state.flows.next_checked()):
             if now_ms - flow.seen_ms > idle_ms:
+                effects += _note_unanswered(now_ms, flow, RequestEnd.FORGOTTEN)
                 self._state.flows.remove(flow.key)
             elif flow.is_busy_longer_than(now_ms, flow.route.timeout_ms):
+                effects += _note_unanswered(now_ms, flow, RequestEnd.FORGOTTEN)
                 flow.end_request()
+        return effects
 
     def _observe(
         self, now_ms: int, flow: Flow, target: KnownTarget, event: FlowPacket
@@ -85,14 +105,17 @@
         if is_after(event.acknowledges, flow.acknowledged):
             flow.acknowledged = event.acknowledges
             flow.repeats = 0
+            effects += _note_answered(now_ms, flow, target)
             flow.end_request()
             effects += note_answer(now_ms, target)
         end = event.sequence + event.data_bytes
         if event.data_bytes and is_after(end, flow.sent_end):
             flow.sent_end, flow.sent_ms = end, now_ms
             flow.begin_request(now_ms)
-        elif event.data_bytes:
+            flow.request = flow.request or event.packet
+        elif event.data_bytes and now_ms - flow.sent_ms >= REPEATED_AFTER_MS:
             flow.repeats += 1
+            effects += _note_repeated(now_ms, flow, target)
             if target.health.answered_ms <= flow.sent_ms:
                 effects += self._state.reach.doubt(now_ms, target)
         return effects
@@ -100,10 +123,10 @@
     def _reset(
         self, now_ms: int, flow: Flow, target: KnownTarget, acknowledges: int
     ) -> list[DirectEffect]:
-        self._state.flows.remove(flow.key)
         is_gone = target.is_gone(now_ms)
         reason = ResetReason.TARGET_GONE if is_gone else ResetReason.TARGET_UNREACHABLE
-        reset = FlowReset(flow.key, target.name, reason)
+        reset = FlowReset(flow.key, target.name, reason, flow.request)
+        self._state.flows.remove(flow.key)
         return [ResetCaller(flow.key, acknowledges), Notify(reset)]
 
 
@@ -112,3 +135,27 @@
     if flow.route.kind is not RouteKind.IDEMPOTENT:
         return False
     return target.reach.is_unreachable or (flow.repeats > 0 and target.is_gone(now_ms))
+
+
+def _note_answered(now_ms: int, flow: Flow, target: KnownTarget) -> list[DirectEffect]:
+    if flow.busy_since_ms is None or not flow.request:
+        return []
+    took_ms = now_ms - flow.busy_since_ms
+    objective_ms = flow.route.latency_objective_ms
+    is_late = 0 < objective_ms < took_ms
+    service = target.published.service
+    answered = RequestAnswered(flow.key, service, target.name, took_ms, is_late, flow.request)
+    return [Notify(answered)]
+
+
+def _note_repeated(now_ms: int, flow: Flow, target: KnownTarget) -> list[DirectEffect]:
+    waited_ms = now_ms - flow.sent_ms
+    silent_ms = now_ms - target.health.answered_ms
+    return [Notify(RequestRepeated(flow.key, target.name, waited_ms, silent_ms, flow.request))]
+
+
+def _note_unanswered(now_ms: int, flow: Flow, end: RequestEnd) -> list[DirectEffect]:
+    if flow.busy_since_ms is None or flow.target is None or not flow.request:
+        return []
+    waited_ms = now_ms - flow.busy_since_ms
+    return [Notify(RequestUnanswered(flow.key, flow.target.name, waited_ms, end, flow.request))]
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -33,6 +33,7 @@
         "opened_ms",
         "phase",
         "repeats",
+        "request",
         "route",
         "seen_ms",
         "sent_end",
@@ -57,6 +58,8 @@
         self.sent_ms = now_ms
         self.acknowledged = 0
         self.repeats = 0
+        # The packet that began the request in work; it names the request in notices.
+        self.request = b""
 
     def is_repeated_by(self, copy_number: int, packet: bytes) -> bool:
         """Return whether an open needs no further target: a duplicate, or a late copy."""
@@ -104,6 +107,7 @@
         if self.busy_since_ms is not None and self.target is not None:
             self.target.busy_requests -= 1
             self.busy_since_ms = None
+            self.request = b""
 
     def release(self) -> None:
         """Take the flow off its target's counts."""
--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -21,6 +21,14 @@
     TARGET_UNREACHABLE = "target_unreachable"
 
 
+class RequestEnd(StrEnum):
+    """Name how a request ended without an answer that this entry VM saw."""
+
+    CALLER_RESET = "caller_reset"
+    CALLER_CLOSED = "caller_closed"
+    FORGOTTEN = "forgotten"
+
+
 class DropReason(StrEnum):
     """Name why a packet was dropped."""
 
@@ -63,11 +71,49 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowReset:
-    """Tell that an open flow was reset towards its caller."""
+    """Tell that an open flow was reset towards its caller.
+
+    `request` is the packet that began the request in work, empty without one.
+    """
 
     flow: FlowKey
     target: TargetName
     reason: ResetReason
+    request: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RequestAnswered:
+    """Tell that a target has begun to answer a request, and whether within its objective."""
+
+    flow: FlowKey
+    service: ServiceName
+    target: TargetName
+    took_ms: int
+    is_late: bool
+    request: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRepeated:
+    """Tell that a caller repeated a packet of a request, and since when its target is silent."""
+
+    flow: FlowKey
+    target: TargetName
+    waited_ms: int
+    target_silent_ms: int
+    request: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RequestUnanswered:
+    """Tell that a flow ended, or was forgotten, while its target had a request."""
+
+    flow: FlowKey
+    target: TargetName
+    waited_ms: int
+    end: RequestEnd
+    request: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +179,9 @@
     | OpenAnswered
     | OpenRefused
     | FlowReset
+    | RequestAnswered
+    | RequestRepeated
+    | RequestUnanswered
     | PacketDropped
     | TargetSuspected
     | TargetCleared
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -22,7 +22,6 @@
 from .settings import DirectSettings
 from .store_task import StoreTask
 
-MS_PER_SECOND = 1000
 SEED_RANGE = 2**63
 # The fabric notices within two probes, one each half second, that this VM leaves.
 LEAVE_S = 1.6
@@ -61,7 +60,9 @@
         self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms)
         self._checks = CheckTask(mailboxes, now_ms)
         core = DirectCore(seed, settings.flow_lifetime_ms)
-        self._core = CoreTask(core, mailboxes, NoticeLog(log), now_ms, self._leave)
+        self._core = CoreTask(
+            core, mailboxes, NoticeLog(log, codec.request_id), now_ms, self._leave
+        )
 
     async def run(self) -> bool:
         """Run the tasks until stopped; return False when a task failed instead."""
--- a/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
@@ -13,6 +13,9 @@
     PacketDropped,
     PauseSeen,
     ReachChanged,
+    RequestAnswered,
+    RequestRepeated,
+    RequestUnanswered,
     TargetSuspected,
 )
 from fuchsiaspread_core.identifiers import ServiceName
@@ -46,6 +49,9 @@
     targets_unreachable: int = 0
     pauses: int = 0
     answer_times: dict[ServiceName, Histogram] = field(default_factory=dict)
+    request_times: dict[ServiceName, Histogram] = field(default_factory=dict)
+    requests_repeated: int = 0
+    requests_unanswered: Counter[str] = field(default_factory=Counter)
     timer_lags: Histogram = field(default_factory=Histogram)
     flow_count: int = 0
     is_ready: bool = False
@@ -58,6 +64,12 @@
                 self.opens_placed[service, attempt > 0] += 1
             case OpenAnswered(service=service, waited_ms=waited_ms):
                 self.answer_times.setdefault(service, Histogram()).add(waited_ms)
+            case RequestAnswered(service=service, took_ms=took_ms):
+                self.request_times.setdefault(service, Histogram()).add(took_ms)
+            case RequestRepeated():
+                self.requests_repeated += 1
+            case RequestUnanswered(end=end):
+                self.requests_unanswered[end] += 1
             case OpenRefused(reason=reason):
                 self.opens_refused[reason] += 1
             case FlowReset(reason=reason):
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
+from fuchsiaspread_core.identifiers import ServiceName
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -36,8 +37,16 @@
         yield _by_reason("opens_refused", "Opens answered with a reset.", counts.opens_refused)
         yield _by_reason("flows_reset", "Open flows reset to their callers.", counts.flows_reset)
         yield _by_reason("packets_dropped", "Packets dropped.", counts.packets_dropped)
+        yield _by_reason(
+            "requests_unanswered", "Requests without an answer.", counts.requests_unanswered
+        )
+        yield _total(
+            "requests_repeated", "Packets that callers repeated.", counts.requests_repeated
+        )
         yield _total(
-            "targets_suspected", "Targets that left an open open.", counts.targets_suspected
+            "targets_suspected",
+            "Targets that did not answer an open in time.",
+            counts.targets_suspected,
         )
         yield _total(
             "targets_unreachable", "Targets found out of reach.", counts.targets_unreachable
@@ -48,7 +57,12 @@
         if counts.store_answered_ms is not None:
             age_s = (self._now_ms - counts.store_answered_ms) / MS_PER_SECOND
             yield _gauge("store_age_seconds", "Time since the store's last answer.", age_s)
-        yield self._answer_times()
+        yield _by_service(
+            "open_answer", "Time from an open to its caller's next packet.", counts.answer_times
+        )
+        yield _by_service(
+            "request", "Time from a request to the first acknowledged answer.", counts.request_times
+        )
         lags = HistogramMetricFamily(
             "fuchsiaspread_timer_lag_seconds", "How late the event loop ran a timer."
         )
@@ -63,15 +77,12 @@
             family.add_metric([service, str(is_retry).lower()], count)
         return family
 
-    def _answer_times(self) -> Metric:
-        family = HistogramMetricFamily(
-            "fuchsiaspread_open_answer_seconds",
-            "Time from an open to its caller's next packet.",
-            labels=["service"],
-        )
-        for service, histogram in self._counts.answer_times.items():
-            family.add_metric([service], *_buckets(histogram))
-        return family
+
+def _by_service(name: str, text: str, times: dict[ServiceName, Histogram]) -> Metric:
+    family = HistogramMetricFamily(f"fuchsiaspread_{name}_seconds", text, labels=["service"])
+    for service, histogram in times.items():
+        family.add_metric([service], *_buckets(histogram))
+    return family
 
 
 def _by_reason(name: str, text: str, counts: Counter[str]) -> Metric:
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -1,5 +1,6 @@
 """Log lines of the direct core's notices."""
 
+from collections.abc import Callable
 from dataclasses import fields
 
 from fuchsiaspread_core.direct.notices import (
@@ -11,6 +12,9 @@
     PacketDropped,
     PauseSeen,
     ReachChanged,
+    RequestAnswered,
+    RequestRepeated,
+    RequestUnanswered,
     RoutesInForce,
     TargetChanged,
     TargetCleared,
@@ -20,11 +24,16 @@
 
 from ..internal.log import Level, Log
 
+# The head of a request that did not pass this entry VM in one packet names no request.
+UNNAMED = "unknown"
 # Event name and level of each notice; the fields are the notice's own.
 LINES: dict[type, tuple[str, Level]] = {
     OpenPlaced: ("open_placed", Level.INFO),
     OpenRefused: ("open_refused", Level.INFO),
     FlowReset: ("flow_reset", Level.INFO),
+    RequestAnswered: ("request_late", Level.INFO),
+    RequestRepeated: ("request_repeated", Level.INFO),
+    RequestUnanswered: ("request_unanswered", Level.WARNING),
     PacketDropped: ("packet_dropped", Level.INFO),
     TargetSuspected: ("target_suspected", Level.WARNING),
     TargetCleared: ("target_cleared", Level.INFO),
@@ -38,16 +47,20 @@
 class NoticeLog:
     """Write notices as log lines."""
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, identify: Callable[[bytes], str | None]) -> None:
         self._log = log
+        self._identify = identify
 
     def write(self, notice: DirectNotice) -> None:
         """Write one notice."""
-        if isinstance(notice, OpenAnswered):
-            # Each open would have a second line; the metrics hold these times.
-            return
+        match notice:
+            case OpenAnswered() | RequestAnswered(is_late=False):
+                # Each open and request would have a second line; the metrics hold these times.
+                return
         event, level = LINES[type(notice)]
         values = {field.name: getattr(notice, field.name) for field in fields(notice)}
+        if "request" in values:
+            values["request"] = self._identify(values["request"]) or UNNAMED
         if "flow" in values:
             values["flow"] = describe_flow(values["flow"])
         self._log.write(level, event, **values)
--- a/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
@@ -19,6 +19,9 @@
     def decode(self, datagram: bytes) -> DirectEvent | None:
         """Return the event of a datagram, or None when it is no packet."""
 
+    def request_id(self, packet: bytes) -> str | None:
+        """Return the id of the request whose head stands in a packet, or None."""
+
     def encode(self, effect: DirectEffect) -> Datagram | None:
         """Return the datagram of an effect and where it goes, or None when it sends nothing."""
 
