Trace a request or a flow through log files

Cause: on-call engineers have the lines of several VMs and a request id; to put them in order by hand, with clocks that jump, took long.

--- a/packages/operator/src/fuchsiaspread_operator/main.py
+++ b/packages/operator/src/fuchsiaspread_operator/main.py
@@ -13,6 +13,7 @@
     ShowCommand,
 )
 from .internal.commands.fleet_commands import BurnCommand, ExplainCommand, StatusCommand
+from .internal.commands.log_commands import TraceCommand
 from .internal.exit_codes import ExitCode
 
 VERSION = "0.1.0"
@@ -24,6 +25,7 @@
     ExplainCommand,
     BurnCommand,
     SchemaCommand,
+    TraceCommand,
 )
 
 
