--- a/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/commands/file_commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from pathlib import Path
 
 from cleo.helpers import argument, option
 from fuchsiaspread_configuration import (
@@ -24,7 +25,8 @@
 )
 from ..decide.publication import InForce, first_problem, published
 from ..exit_codes import ExitCode
-from ..gather.files import read_fleet
+from ..gather.file_checks import find_check
+from ..gather.files import read_file, read_fleet
 from ..gather.platform import read_keys
 from ..inputs import BASE_KEY, SITES_KEY, FleetFiles, Published
 from ..outcomes import Unreachable, Unusable, UsageProblem
@@ -70,6 +72,7 @@
         SITE_OPTION,
         TIMEOUT_OPTION,
         option("strict", None, "Report warnings with exit code 1."),
+        option("kind", None, "Check single files of an installed kind instead.", flag=False),
         FORMAT_OPTION,
     ]
     help = help_text(
@@ -80,10 +83,13 @@
         "check new/ --against old/",
         "check new/ --platform 127.1.0.11:8500",
         "check base.yaml sites/occidente.yaml",
+        "check --kind platform-settings settings.yaml",
     )
 
     def run_command(self) -> ExitCode:
         """Check the files and compare them if asked to."""
+        if self.option("kind") is not None:
+            return self._check_kind(self.option("kind"))
         files = read_fleet(tuple(self.argument("files")))
         if isinstance(files, Unusable):
             return self.fail(files)
@@ -104,6 +110,19 @@
         is_bad = bool(checked.faults) or (self.option("strict") and has_warnings)
         return ExitCode.FINDINGS if is_bad else ExitCode.DONE
 
+    def _check_kind(self, kind: str) -> ExitCode:
+        check = find_check(kind)
+        if isinstance(check, UsageProblem):
+            return self.fail(check)
+        faults: list[Fault] = []
+        for name in self.argument("files"):
+            content = read_file(Path(name))
+            faults += (content,) if isinstance(content, Fault) else check(content.content, name)
+        if faults:
+            return self.fail(Unusable(tuple(faults)))
+        self.emit({"faults": []}, lambda _: "No faults.")
+        return ExitCode.DONE
+
     def _compared(self, in_force: InForce, checked: CheckedFiles) -> Comparison:
         before, after = in_force.configurations, checked.configurations
         if checked.faults:
