--- a/packages/operator/src/fuchsiaspread_operator/internal/decide/tracing.py
+++ b/packages/operator/src/fuchsiaspread_operator/internal/decide/tracing.py
@@ -6,6 +6,8 @@
 
 # Lines about the flow's entry VMs and targets so close to it may explain what happened.
 SURROUNDINGS_MS = 3_000
+# The entry VM did not see the head of the request.
+UNNAMED_REQUEST = "unknown"
 PROCESS_EVENTS = frozenset(
     {"started", "stopped", "stop_requested", "pause_seen", "store_lost", "store_reached"}
     | {"readiness_changed", "task_failed"}
@@ -64,7 +66,7 @@
 
 def trace(subject: str, lines: Sequence[LogLine]) -> Trace:
     """Return what the lines tell about a request id or a flow."""
-    named = [line for line in lines if subject in (line.fields.get("request"), _flow(line))]
+    named = [line for line in lines if subject in (_request(line), _flow(line))]
     flows = {_flow(line) for line in named} - {None}
     placed = _aligned(lines)
     about = [(moment, line) for moment, line in placed if _flow(line) in flows]
@@ -92,6 +94,11 @@
     return line.fields.get("flow")
 
 
+def _request(line: LogLine) -> str | None:
+    request = line.fields.get("request")
+    return None if request == UNNAMED_REQUEST else request
+
+
 def _aligned(lines: Iterable[LogLine]) -> list[tuple[int, LogLine]]:
     """Return the lines with moments of one clock, in their order.
 
--- a/packages/operator/tests/operator_cli/test_tracing.py
+++ b/packages/operator/tests/operator_cli/test_tracing.py
@@ -74,6 +74,12 @@
         self.assertIn("configuration version 7", verdict)
         self.assertIn("did not run", verdict)
 
+    def test_unnamed_requests_are_no_common_subject(self) -> None:
+        """Guards against a trace that mixes all requests whose head was not seen."""
+        late = line("a", "request_late", 1, 1, flow=FLOW, target="i-1", request="unknown")
+        self.assertFalse(trace("unknown", (late,)).is_known)
+        self.assertTrue(trace(FLOW, (late,)).is_known)
+
     def test_unknown_subject_is_said_plainly(self) -> None:
         """Guards against an empty answer that looks like good news."""
         traced = trace("4f-21", (line("a", "started", 1, 1),))
