Bind the packet socket before the settings are read

Cause: packets that came in the first third of a start, while the modules that read the settings were loaded, were lost; their callers repeat them after growing pauses.

--- a/packages/entry/src/fuchsiaspread_entry/internal/bound_socket.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/bound_socket.py
@@ -26,6 +26,16 @@
     return bound
 
 
+def bind_named_datagram_socket(address: str) -> socket.socket | None:
+    """Return a UDP socket bound to HOST:PORT, or None when it is no address that can be bound."""
+    host, _, port = address.rpartition(":")
+    try:
+        return bind_datagram_socket(Endpoint(host, int(port)))
+    except (OSError, OverflowError, ValueError):
+        # Whoever reads the settings binds again and reports the fault with its key.
+        return None
+
+
 def bind_stream_socket(listen: Endpoint) -> socket.socket:
     """Return a non-blocking listening TCP socket.
 
