--- a/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
@@ -6,6 +6,7 @@
 
 from fuchsiaspread_core.direct import CheckOutcome, CheckTarget, TargetChecked
 
+from ..internal.log import Level, Log
 from .messages import DirectMailboxes, EventsReceived
 
 # A target in reach accepts within a few milliseconds, also when it is busy.
@@ -20,10 +21,11 @@
 class CheckTask:
     """Own the connections of the checks."""
 
-    def __init__(self, mailboxes: DirectMailboxes, now_ms: Callable[[], int]) -> None:
+    def __init__(self, mailboxes: DirectMailboxes, now_ms: Callable[[], int], log: Log) -> None:
         self._mailbox = mailboxes.checks
         self._core = mailboxes.core
         self._now_ms = now_ms
+        self._log = log
         self._places = asyncio.Semaphore(MAX_CHECKS)
 
     async def run(self) -> None:
@@ -53,7 +55,9 @@
                 return CheckOutcome.TIMED_OUT
             except ConnectionRefusedError:
                 return CheckOutcome.REFUSED
-            except OSError:
+            except OSError as error:
                 # No way to the network, or no free descriptor: nothing is known of the target.
+                cause = error.strerror or repr(error)
+                self._log.write(Level.WARNING, "check_failed", target=check.target, cause=cause)
                 return CheckOutcome.INCONCLUSIVE
         return CheckOutcome.CONNECTED
--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -93,7 +93,8 @@
                         self._counts.note(notice)
                         self._notices.write(notice)
                     case CheckTarget():
-                        self._checks.put(CheckAsked(effect))
+                        if not self._checks.put(CheckAsked(effect)):
+                            self._notices.write_lost_check(effect.target)
                     case _:
                         sent.append(effect)
             match event:
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -57,8 +57,8 @@
         self._packets = PacketTask(sockets.packets, codec, mailboxes, log)
         self._readiness = ReadinessTask(sockets.readiness, settings.readiness_path, mailboxes)
         self._store = StoreTask(keys, seed, mailboxes, log)
-        self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms)
-        self._checks = CheckTask(mailboxes, now_ms)
+        self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms, log)
+        self._checks = CheckTask(mailboxes, now_ms, log)
         core = DirectCore(seed, settings.flow_lifetime_ms)
         self._core = CoreTask(
             core, mailboxes, NoticeLog(log, codec.request_id), now_ms, self._leave
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
@@ -6,6 +6,7 @@
 from socket import socket
 from typing import TYPE_CHECKING
 
+from ..internal.log import Level, Log
 from .direct_counts import DirectCounts
 from .http_answers import respond, start_server
 from .messages import CountsAsked, DirectMailboxes
@@ -22,11 +23,12 @@
     """Own the HTTP server of the metrics address; the counts belong to the core task."""
 
     def __init__(
-        self, bound: socket, mailboxes: DirectMailboxes, now_ms: Callable[[], int]
+        self, bound: socket, mailboxes: DirectMailboxes, now_ms: Callable[[], int], log: Log
     ) -> None:
         self._socket = bound
         self._core = mailboxes.core
         self._now_ms = now_ms
+        self._log = log
         self._requests: asyncio.Queue[HTTPServerRequest] = asyncio.Queue()
 
     async def run(self) -> None:
@@ -49,6 +51,8 @@
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 counts = await reply
         except TimeoutError:
+            # The core task has more packets than it can handle.
+            self._log.write(Level.WARNING, "metrics_late", limit_s=ANSWER_TIMEOUT_S)
             respond(request, HTTPStatus.SERVICE_UNAVAILABLE)
             return
         # Loaded with the first question, since the daemon's start must be short.
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -20,7 +20,7 @@
     TargetCleared,
     TargetSuspected,
 )
-from fuchsiaspread_core.identifiers import describe_flow
+from fuchsiaspread_core.identifiers import TargetName, describe_flow
 
 from ..internal.log import Level, Log
 
@@ -65,6 +65,10 @@
             values["flow"] = describe_flow(values["flow"])
         self._log.write(level, event, **values)
 
+    def write_lost_check(self, target: TargetName) -> None:
+        """Write that a target is not checked; one out of reach is checked again later."""
+        self._log.write(Level.WARNING, "check_lost", target=target)
+
     def write_readiness(self, is_ready: bool) -> None:
         """Write that the readiness changed."""
         self._log.write(Level.INFO, "readiness_changed", is_ready=is_ready)
--- /dev/null
+++ b/packages/entry/tests/direct/test_check_task.py
@@ -0,0 +1,60 @@
+"""Connection attempts to targets."""
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from fuchsiaspread_core.direct import CheckOutcome, CheckTarget, TargetChecked
+from fuchsiaspread_core.identifiers import Endpoint, TargetName
+from fuchsiaspread_entry.direct.check_task import CheckTask
+from fuchsiaspread_entry.direct.messages import CheckAsked, DirectMailboxes
+from fuchsiaspread_entry.internal.log import Level, Log
+
+HOST = "127.0.0.1"
+TARGET = TargetName("i-1")
+GUARD_S = 10.0
+
+
+class CheckTaskTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.mailboxes = DirectMailboxes()
+        self.lines: list[dict[str, object]] = []
+        log = Log(Level.INFO, lambda: 1_000, lambda **fields: self.lines.append(fields))
+        self.running = asyncio.create_task(CheckTask(self.mailboxes, lambda: 1_000, log).run())
+
+    async def asyncTearDown(self) -> None:
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+
+    async def outcome(self, endpoint: Endpoint) -> CheckOutcome:
+        """Return how a check of an endpoint ends."""
+        self.mailboxes.checks.put(CheckAsked(CheckTarget(TARGET, endpoint)))
+        async with asyncio.timeout(GUARD_S):
+            (message,) = await self.mailboxes.core.take()
+        (event,) = message.events
+        assert isinstance(event, TargetChecked)
+        return event.outcome
+
+    async def test_listening_and_closed_ports_are_told_apart(self) -> None:
+        """Guards against a dead target that counts as reachable."""
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), HOST, 0)
+        endpoint = Endpoint(*server.sockets[0].getsockname())
+        self.assertIs(await self.outcome(endpoint), CheckOutcome.CONNECTED)
+        server.close()
+        await server.wait_closed()
+        self.assertIs(await self.outcome(endpoint), CheckOutcome.REFUSED)
+        self.assertEqual(self.lines, [])
+
+    async def test_failure_of_this_vm_says_nothing_of_the_target_and_is_logged(self) -> None:
+        """Guards against targets judged, or a fault hidden, when descriptors run out."""
+        loop = asyncio.get_running_loop()
+        with patch.object(loop, "sock_connect", side_effect=OSError(24, "Too many open files")):
+            outcome = await self.outcome(Endpoint(HOST, 9))
+        self.assertIs(outcome, CheckOutcome.INCONCLUSIVE)
+        (line,) = self.lines
+        self.assertEqual((line["message_type"], line["target"]), ("check_failed", TARGET))
+        self.assertEqual(line["cause"], "Too many open files")
+
+
+if __name__ == "__main__":
+    unittest.main()
