Pace the calls to the store by the time in which changes must be in force

Cause: each entry VM watched again 0.4 s after every change. Change: the pause after changes is a third of the shorter bound for drains and configurations (1.0 s at 3 s, 2.0 s at 6 s), a part of it random. An unexpected error of the reader counts as a failed call.

--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -6,6 +6,7 @@
 from socket import socket
 
 from fuchsiaspread_core.direct import DirectCore, StopRequested
+from fuchsiaspread_core.direct.store_pacing import StorePacing
 
 from ..internal.clock import now_ms
 from ..internal.log import Level, Log
@@ -56,7 +57,8 @@
         seed = random.SystemRandom().randrange(SEED_RANGE)
         self._packets = PacketTask(sockets.packets, codec, mailboxes, log)
         self._readiness = ReadinessTask(sockets.readiness, settings.readiness_path, mailboxes)
-        self._store = StoreTask(store_reader, seed, mailboxes, log)
+        pacing = StorePacing(settings.store_pause_ms)
+        self._store = StoreTask(store_reader, pacing, seed, mailboxes, log)
         self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms, log)
         self._checks = CheckTask(mailboxes, now_ms, log)
         core = DirectCore(seed, settings.flow_lifetime_ms)
@@ -80,7 +82,7 @@
     def stop(self) -> None:
         """Request a graceful stop."""
         self._log.write(Level.INFO, "stop_requested")
-        self._mailboxes.core.put(EventsReceived([StopRequested()]))
+        self._mailboxes.core.put_control(EventsReceived([StopRequested()]))
 
     def _schedule_exit(self) -> None:
         # Keep forwarding packets until the fabric has stopped sending them here.
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
@@ -46,7 +46,7 @@
             respond(request, HTTPStatus.NOT_FOUND)
             return
         reply: asyncio.Future[DirectCounts] = asyncio.get_running_loop().create_future()
-        self._core.put(CountsAsked(reply))
+        self._core.put_control(CountsAsked(reply))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 counts = await reply
--- a/packages/entry/src/fuchsiaspread_entry/direct/settings.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/settings.py
@@ -16,3 +16,5 @@
     readiness_path: str
     metrics: Endpoint
     flow_lifetime_ms: int
+    # Pause before the next call to the store after it has reported changes.
+    store_pause_ms: int
--- a/packages/entry/src/fuchsiaspread_entry/direct/store_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/store_task.py
@@ -5,25 +5,28 @@
 from typing import assert_never
 
 from fuchsiaspread_core.direct import StoreReached
+from fuchsiaspread_core.direct.store_pacing import StorePacing
 
 from ..internal.log import Level, Log
 from .messages import DirectMailboxes, EventsReceived
 from .store_reader import HistoryLost, StoreFailed, StoreReader, StoreUpdate
 
-INITIAL_BACKOFF_S = 0.1
-# Short enough to apply changes soon after an outage, long enough to limit refused calls.
-MAX_BACKOFF_S = 1.0
-# Changes within this time after an update arrive in one call instead of many.
-BATCH_DELAY_S = 0.4
+MS_PER_SECOND = 1000
 
 
 class StoreTask:
     """Read the store, then watch it for changes."""
 
     def __init__(
-        self, reader: StoreReader, seed: int, mailboxes: DirectMailboxes, log: Log
+        self,
+        reader: StoreReader,
+        pacing: StorePacing,
+        seed: int,
+        mailboxes: DirectMailboxes,
+        log: Log,
     ) -> None:
         self._reader = reader
+        self._pacing = pacing
         self._random = Random(seed)
         self._core = mailboxes.core
         self._log = log
@@ -32,27 +35,32 @@
     async def run(self) -> None:
         """Watch the store until cancelled."""
         revision: int | None = None
-        backoff_s = INITIAL_BACKOFF_S
         while True:
-            outcome = await (
-                self._reader.read() if revision is None else self._reader.watch(revision)
-            )
+            outcome = await self._call(revision)
+            delay_ms = 0
             match outcome:
                 case StoreUpdate(events=events):
-                    revision, backoff_s = outcome.revision, INITIAL_BACKOFF_S
+                    revision = outcome.revision
                     self._forward(outcome)
-                    if events:
-                        await asyncio.sleep(BATCH_DELAY_S)
+                    delay_ms = self._pacing.after_answer(bool(events), self._random.random())
                 case HistoryLost():
                     self._log.write(Level.INFO, "store_history_lost")
                     revision = None
                 case StoreFailed(cause=cause):
                     self._report_failure(cause)
-                    # Half of the backoff is random, so that a fleet does not reconnect at once.
-                    await asyncio.sleep(backoff_s * self._random.uniform(0.5, 1.0))
-                    backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+                    delay_ms = self._pacing.after_failure(self._random.random())
                 case _:
                     assert_never(outcome)
+            await asyncio.sleep(delay_ms / MS_PER_SECOND)
+
+    async def _call(self, revision: int | None) -> StoreUpdate | HistoryLost | StoreFailed:
+        """Read everything or watch for changes; an unexpected error counts as a failed call."""
+        try:
+            if revision is None:
+                return await self._reader.read()
+            return await self._reader.watch(revision)
+        except Exception as error:
+            return StoreFailed(f"unexpected error: {error!r}")
 
     def _forward(self, update: StoreUpdate) -> None:
         if self._is_lost:
@@ -60,11 +68,11 @@
             self._log.write(Level.INFO, "store_reached")
         for problem in update.problems:
             self._log.write(Level.WARNING, "entry_unusable", problem=problem)
-        self._core.put(EventsReceived((StoreReached(True), *update.events)))
+        self._core.put_control(EventsReceived((StoreReached(True), *update.events)))
 
     def _report_failure(self, cause: str) -> None:
         if self._is_lost:
             return
         self._is_lost = True
         self._log.write(Level.WARNING, "store_lost", cause=cause)
-        self._core.put(EventsReceived([StoreReached(False)]))
+        self._core.put_control(EventsReceived([StoreReached(False)]))
