Keep one bad entry, error or full mailbox from costing more than itself

Now it costs that event or check, is logged with its place and counted (fuchsiaspread_events_failed). - Changes of targets, outcomes of checks and a stop were dropped by a full mailbox.

--- a/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
@@ -38,7 +38,7 @@
     async def _check(self, check: CheckTarget) -> None:
         async with self._connection_slots:
             outcome = await self._connect(check)
-        self._core.put(EventsReceived([TargetChecked(check.target, outcome)]))
+        self._core.put_control(EventsReceived([TargetChecked(check.target, outcome)]))
 
     async def _connect(self, check: CheckTarget) -> CheckOutcome:
         started_ms = self._now_ms()
@@ -57,7 +57,12 @@
                 return CheckOutcome.REFUSED
             except OSError as error:
                 # No local route or no free file descriptor; this says nothing about the target.
-                cause = error.strerror or repr(error)
-                self._log.write(Level.WARNING, "check_failed", target=check.target, cause=cause)
-                return CheckOutcome.INCONCLUSIVE
+                return self._report_failure(check, error.strerror or repr(error))
+            except Exception as error:
+                # A defect in one check must not end the checks of all targets.
+                return self._report_failure(check, repr(error))
         return CheckOutcome.CONNECTED
+
+    def _report_failure(self, check: CheckTarget, cause: str) -> CheckOutcome:
+        self._log.write(Level.WARNING, "check_failed", target=check.target, cause=cause)
+        return CheckOutcome.INCONCLUSIVE
--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -87,7 +87,7 @@
         sent: list[DirectEffect] = []
         now_ms = self._now_ms()
         for event in events:
-            for effect in self._core.handle(now_ms, event):
+            for effect in self._effects_of(now_ms, event):
                 match effect:
                     case Notify(notice=notice):
                         self._counts.record(notice)
@@ -109,6 +109,16 @@
             self._notices.write_readiness(self._is_ready)
             self._readiness.put(ReadinessChanged(self._is_ready))
 
+    def _effects_of(self, now_ms: int, event: DirectEvent) -> list[DirectEffect]:
+        """Return the core's effects; an unexpected error costs this event, not the process."""
+        try:
+            return self._core.handle(now_ms, event)
+        except Exception as error:
+            name = type(event).__name__
+            self._counts.events_failed[name] += 1
+            self._notices.write_failed_event(name, error)
+            return []
+
     def _schedule_tick(self) -> None:
         """Set the timer for the next deadline of the core, or for the tick interval."""
         now_ms = self._now_ms()
--- a/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
@@ -48,6 +48,8 @@
     targets_suspected: int = 0
     targets_unreachable: int = 0
     pauses: int = 0
+    # By type of event; each is a defect of this program.
+    events_failed: Counter[str] = field(default_factory=Counter)
     answer_times: dict[ServiceName, Histogram] = field(default_factory=dict)
     request_times: dict[ServiceName, Histogram] = field(default_factory=dict)
     requests_repeated: int = 0
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -52,6 +52,9 @@
             "targets_unreachable", "Targets found out of reach.", counts.targets_unreachable
         )
         yield _total("pauses", "Times that the process stood still.", counts.pauses)
+        yield _by_reason(
+            "events_failed", "Events lost by an unexpected error, by type.", counts.events_failed
+        )
         yield _gauge("flows_recorded", "Flow records held.", counts.flow_count)
         yield _gauge("ready", "1 while this VM takes packets.", int(counts.is_ready))
         if counts.store_answered_ms is not None:
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -69,6 +69,21 @@
         """Log that a check was dropped; an unreachable target is checked again later."""
         self._log.write(Level.WARNING, "check_lost", target=target)
 
+    def write_failed_event(self, name: str, error: Exception) -> None:
+        """Log an event that the core could not handle, with the place of the error."""
+        self._log.write(Level.ERROR, "event_failed", type=name, cause=repr(error), at=_place(error))
+
     def write_readiness(self, is_ready: bool) -> None:
         """Log a change of readiness."""
         self._log.write(Level.INFO, "readiness_changed", is_ready=is_ready)
+
+
+def _place(error: Exception) -> str:
+    """Return the file name and line at which an error was raised."""
+    frame = error.__traceback__
+    while frame is not None and frame.tb_next is not None:
+        frame = frame.tb_next
+    if frame is None:
+        return "unknown"
+    file_name = frame.tb_frame.f_code.co_filename.rpartition("/")[2]
+    return f"{file_name}:{frame.tb_lineno}"
--- a/packages/entry/tests/direct/test_check_task.py
+++ b/packages/entry/tests/direct/test_check_task.py
@@ -58,6 +58,17 @@
         self.assertEqual((line["message_type"], line["target"]), ("check_failed", TARGET))
         self.assertEqual(line["cause"], "Too many open files")
 
+    async def test_unexpected_error_is_inconclusive_and_checks_go_on(self) -> None:
+        """Guards against one check that ends the process."""
+        loop = asyncio.get_running_loop()
+        with patch.object(loop, "sock_connect", side_effect=UnicodeError("not a name")):
+            self.assertIs(await self.outcome(Endpoint(HOST, 9)), CheckOutcome.INCONCLUSIVE)
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), HOST, 0)
+        endpoint = Endpoint(*server.sockets[0].getsockname())
+        self.assertIs(await self.outcome(endpoint), CheckOutcome.CONNECTED)
+        server.close()
+        await server.wait_closed()
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/packages/entry/tests/direct/test_core_task.py
@@ -0,0 +1,99 @@
+"""The direct core task under overload, and when the core raises an unexpected error."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest.mock import patch
+
+from fuchsiaspread_core.direct import (
+    DirectCore,
+    DirectEvent,
+    PublishedTarget,
+    StopRequested,
+    TargetPhase,
+    TargetPublished,
+    TargetsListed,
+    Tick,
+)
+from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName
+from fuchsiaspread_entry.direct.core_task import CoreTask
+from fuchsiaspread_entry.direct.messages import (
+    MAILBOX_LIMIT,
+    CountsAsked,
+    DirectMailboxes,
+    EventsReceived,
+)
+from fuchsiaspread_entry.direct.notice_log import NoticeLog
+from fuchsiaspread_entry.internal.log import Level, Log
+
+TEST_TIMEOUT_S = 10.0
+TARGET = PublishedTarget(
+    TargetName("i-7f3a91c2"),
+    ServiceName("desk"),
+    Endpoint("10.128.0.9", 8080),
+    ZoneName("centre"),
+    slots=3,
+    phase=TargetPhase.READY,
+    cold_ms=0,
+    started_ms=1,
+)
+
+
+class CoreTaskTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.mailboxes = DirectMailboxes()
+        self.lines: list[dict[str, object]] = []
+        self.stopped = asyncio.Event()
+        log = Log(Level.INFO, lambda: 1_000, lambda **fields: self.lines.append(fields))
+        self.core = DirectCore(1, 60_000)
+        notices = NoticeLog(log, lambda packet: None)
+        self.task = CoreTask(
+            self.core, self.mailboxes, notices, lambda: 1_000, lambda: self.stopped.set()
+        )
+
+    async def _run_until(self, is_done: Callable[[], bool]) -> None:
+        running = asyncio.create_task(self.task.run())
+        try:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while not is_done():
+                    self.assertFalse(running.done(), running)
+                    await asyncio.sleep(0)
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+
+    async def test_overload_loses_no_change_of_a_target_and_no_stop(self) -> None:
+        """Guards against a target that drains, or a planned stop, lost in a full mailbox.
+
+        The store reports each change once; a lost one would stay unknown until the target leaves.
+        """
+        for _ in range(MAILBOX_LIMIT + 1):
+            self.mailboxes.core.put(EventsReceived([]))
+        self.mailboxes.core.put_control(EventsReceived([TargetsListed((TARGET,))]))
+        self.mailboxes.core.put_control(EventsReceived([StopRequested()]))
+        await self._run_until(self.stopped.is_set)
+        self.assertIsNotNone(self.core.targets.by_name(TARGET.name))
+
+    async def test_unexpected_error_costs_one_event_and_is_counted(self) -> None:
+        """Guards against one event that ends the whole process."""
+        handle = self.core.handle
+
+        def fail_on_tick(now_ms: int, event: DirectEvent) -> list[object]:
+            if isinstance(event, Tick):
+                raise KeyError("defect")
+            return handle(now_ms, event)  # type: ignore[return-value]
+
+        events = [Tick(), TargetPublished(TARGET)]
+        reply = asyncio.get_running_loop().create_future()
+        with patch.object(self.core, "handle", fail_on_tick):
+            self.mailboxes.core.put(EventsReceived(events))
+            self.mailboxes.core.put(CountsAsked(reply))
+            await self._run_until(reply.done)
+        self.assertIsNotNone(self.core.targets.by_name(TARGET.name))
+        self.assertEqual(reply.result().events_failed["Tick"], 1)
+        failed = [line for line in self.lines if line["message_type"] == "event_failed"]
+        self.assertEqual([line["cause"] for line in failed], ["KeyError('defect')"])
+
+
+if __name__ == "__main__":
+    unittest.main()
