Deliver keys, stops and configurations to tasks whose mailbox is full

Cause: a full mailbox dropped these messages like packets. A withdrawn authentication key stayed in use although the reload was logged as done, a planned stop ended by force after its grace period, and the hosts of a new service never reached the fabric task, which drops packets to unknown hosts. Change: they use put_control, which the limit does not apply to; the update of the directory by a peer's message is inside the guard that keeps one message from ending the core task.

--- a/packages/entry/src/fuchsiaspread_entry/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/daemon.py
@@ -106,7 +106,7 @@
         if self._grace_timer is not None:
             return
         self._log.write(Level.INFO, "stop_requested", grace_s=self._stop_grace_s)
-        self.submit_events([StopRequested()])
+        self._mailboxes.core.put_control(EventsReceived([StopRequested()]))
         loop = asyncio.get_running_loop()
         self._grace_timer = loop.call_later(self._stop_grace_s, self._force_stop)
 
@@ -121,15 +121,15 @@
             self._log.write(Level.WARNING, "settings_need_restart", settings=needed)
         self._log.level = level_of(settings.log)
         changed = KeysChanged(Keyring(settings.keys))
-        self._mailboxes.peer.put(changed)
-        self._mailboxes.peer_service.put(changed)
+        self._mailboxes.peer.put_control(changed)
+        self._mailboxes.peer_service.put_control(changed)
         self._log.write(Level.INFO, "settings_reloaded", log=settings.log, keys=len(settings.keys))
 
     def _finish_stop(self) -> None:
         # Wait for running transfers: the next managers need the flow records in them.
         transferred = asyncio.get_running_loop().create_future()
         transferred.add_done_callback(lambda _: self._stopped.set())
-        self._mailboxes.peer_service.put(TransfersAwaited(transferred))
+        self._mailboxes.peer_service.put_control(TransfersAwaited(transferred))
 
     def _force_stop(self) -> None:
         self._log.write(Level.WARNING, "stop_grace_ended", grace_s=self._stop_grace_s)
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -71,7 +71,7 @@
 
     def write_failed_event(self, name: str, error: Exception) -> None:
         """Log an event that the core could not handle, with the place of the error."""
-        self._log.write(Level.ERROR, "event_failed", type=name, cause=repr(error), at=_place(error))
+        self._log.write(Level.ERROR, "event_failed", kind=name, cause=repr(error), at=_place(error))
 
     def write_readiness(self, is_ready: bool) -> None:
         """Log a change of readiness."""
--- a/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/core_task.py
@@ -171,20 +171,25 @@
                 self._report_failure(packet, error)
 
     def _handle_event(self, now_ms: int, event: Event) -> None:
-        match event:
-            case ControlReceived(sender=sender, message=control):
-                if self._directory.apply_updates(sender, control.updates):
-                    self._send_directory()
-            case MembersPublished(members=members):
-                if self._directory.apply_listed(members):
-                    self._send_directory()
         try:
+            self._update_directory(event)
             for effect in self._core.handle(now_ms, event):
                 self._execute_effect(now_ms, effect)
         except Exception as error:
             # A message from a peer must not crash this entry VM either.
             self._report_failure(event, error)
 
+    def _update_directory(self, event: Event) -> None:
+        match event:
+            case ControlReceived(sender=sender, message=control):
+                is_changed = self._directory.apply_updates(sender, control.updates)
+            case MembersPublished(members=members):
+                is_changed = self._directory.apply_listed(members)
+            case _:
+                return
+        if is_changed:
+            self._send_directory()
+
     def _execute_effect(self, now_ms: int, effect: Effect) -> None:
         match effect:
             case SendToTarget(tunnel=tunnel, payload=payload):
@@ -237,7 +242,7 @@
             for service in configuration.services
             for address in service.addresses
         )
-        self._mailboxes.fabric.put(ServiceHostsChanged(hosts))
+        self._mailboxes.fabric.put_control(ServiceHostsChanged(hosts))
 
     def _send_load_endpoints(self, now_ms: int) -> None:
         """Send the endpoints to poll to the load task; only the manager of a target polls it."""
@@ -256,8 +261,8 @@
 
     def _send_directory(self) -> None:
         changed = DirectoryChanged(self._directory.members())
-        self._mailboxes.peer.put(changed)
-        self._mailboxes.peer_service.put(changed)
+        self._mailboxes.peer.put_control(changed)
+        self._mailboxes.peer_service.put_control(changed)
 
     def _report_failure(self, cause: Event | CoreQuestion, error: Exception) -> None:
         self._reporter.counts[FAILED_EVENT] += 1
--- a/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/tasks/platform_task.py
@@ -155,7 +155,7 @@
     def _publish(self, key: WatchedKey, published: Published) -> None:
         event = self._event(key, published)
         if event is not None:
-            self._core.put(EventsReceived([event]))
+            self._core.put_control(EventsReceived([event]))
 
     def _event(self, key: WatchedKey, published: Published) -> Event | None:
         match key:
