--- a/packages/core/src/fuchsiaspread_core/admission.py
+++ b/packages/core/src/fuchsiaspread_core/admission.py
@@ -22,10 +22,10 @@
 from .internal.open_queue import OpenQueue, PendingOpen
 from .internal.outcomes import Outcomes
 from .internal.respill import Respill
-from .internal.retry_budget import RetryBudget
 from .internal.service_times import ServiceTimes
 from .internal.target_load import TargetLoad, TargetSummary
 from .notices import FlowEnd, RefusalReason
+from .retry_budget import RetryBudget
 
 __all__ = [
     "Admit",
--- a/packages/core/src/fuchsiaspread_core/direct/open_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/open_handler.py
@@ -1,7 +1,7 @@
 """Handling of opens (SYN): choice of a target, and retries of unanswered ones."""
 
 from ..identifiers import address_of
-from ..internal.retry_budget import RetryBudget
+from ..retry_budget import RetryBudget
 from .effects import DirectEffect, ForwardOpen, Notify, ResetCaller
 from .events import OpenPacket
 from .flows import Flow, FlowPhase
