--- a/packages/entry/src/fuchsiaspread_entry/direct/http_client.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/http_client.py
@@ -49,9 +49,10 @@
 
 
 async def _call(server: Endpoint, path: str, limits: HttpLimits) -> HttpResponse | HttpFailure:
-    connecting = asyncio.open_connection(server.host, server.port)
     try:
-        reader, writer = await asyncio.wait_for(connecting, limits.connect_timeout_s)
+        # `asyncio.wait_for` would lose a cancellation that comes as the connection is made.
+        async with asyncio.timeout(limits.connect_timeout_s):
+            reader, writer = await asyncio.open_connection(server.host, server.port)
     except TimeoutError:
         return HttpFailure("timed out connecting")
     try:
--- a/packages/entry/tests/direct/test_http_client.py
+++ b/packages/entry/tests/direct/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest.mock import MagicMock, patch
 
 from fuchsiaspread_core.identifiers import Endpoint
 from fuchsiaspread_entry.direct.http_client import HttpFailure, HttpLimits, HttpResponse, http_get
@@ -10,6 +11,7 @@
 
 LIMITS = HttpLimits(connect_timeout_s=2.0, timeout_s=5.0, body_bytes=1_000)
 HOST = "127.0.0.1"
+TEST_TIMEOUT_S = 10.0
 COUNTED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
 
