--- a/packages/entry/tests/direct/test_http_client.py
+++ b/packages/entry/tests/direct/test_http_client.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 LIMITS = HttpLimits(connect_timeout_s=2.0, timeout_s=5.0, body_bytes=1_000)
+LONG_LIMITS = HttpLimits(connect_timeout_s=100.0, timeout_s=100.0, body_bytes=1_000)
 HOST = "127.0.0.1"
 TEST_TIMEOUT_S = 10.0
 COUNTED = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -104,3 +105,28 @@
         """Guards against a response of some other server that crashes the daemon."""
         outcome = asyncio.run(Server(start + content).get())
         self.assertIsInstance(outcome, HttpResponse | HttpFailure)
+
+    async def _call(self, connected: asyncio.Future) -> HttpResponse | HttpFailure:
+        async def connect(host: str, port: int) -> object:
+            return await connected
+
+        with patch("asyncio.open_connection", connect):
+            return await http_get(Endpoint(HOST, 9), "/", LONG_LIMITS)
+
+    def test_cancellation_that_comes_with_the_connection_is_not_lost(self) -> None:
+        """Guards against a stop that waits for a task which has lost its cancellation."""
+
+        async def cancel_after(ticks: int) -> bool:
+            connected = asyncio.get_running_loop().create_future()
+            calling = asyncio.create_task(self._call(connected))
+            for _ in range(4):
+                await asyncio.sleep(0)
+            connected.set_result((asyncio.StreamReader(), MagicMock()))
+            for _ in range(ticks):
+                await asyncio.sleep(0)
+            calling.cancel()
+            await asyncio.wait([calling], timeout=TEST_TIMEOUT_S)
+            return calling.cancelled()
+
+        for ticks in range(6):
+            self.assertTrue(asyncio.run(cancel_after(ticks)), ticks)
