Take a lost zone as lost without a check of each of its targets

Cause: when the sample of a zone was lost, each entry VM checked all targets of the zone, and again all of them when the partition ended. The work grows as VMs times targets. A lost target also searched all flow records of the VM. Change: the sample decides about the zone. Opens avoid a lost zone; up to 64 of its targets with open flows are checked, and another one as soon as a request is due to it, without waiting for a retransmission. A zone whose targets have answered a caller within 200 ms is not sampled. Targets know their own flow records. Resets still need a check of the target itself.

--- a/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
@@ -3,7 +3,7 @@
 from ..identifiers import TargetName, address_of
 from .effects import DirectEffect, ForwardPacket, Notify, ResetCaller
 from .events import CheckOutcome, FlowPacket
-from .flows import Flow, FlowPhase, is_after
+from .flows import Flow, FlowPhase, is_after, waiting_for
 from .notices import (
     DropReason,
     FlowReset,
@@ -68,7 +68,7 @@
             return []
         effects = self._state.reachability_checks.handle_outcome(now_ms, target, outcome)
         if target.reachability.is_unreachable:
-            for flow in self._state.flows.waiting_for(target):
+            for flow in waiting_for(target):
                 if _should_reset(now_ms, flow, target):
                     effects += self._reset(now_ms, flow, target, flow.acknowledged)
         return effects
@@ -97,7 +97,7 @@
         flow.last_seen_ms = now_ms
         if flow.phase is FlowPhase.OPENING:
             flow.mark_open(event.sequence, event.ack_number)
-            effects += record_answer(now_ms, target)
+            effects += self._record_answer(now_ms, target)
             waited_ms = now_ms - flow.opened_ms
             effects.append(Notify(OpenAnswered(target.published.service, waited_ms)))
         if flow.sent_end is None:
@@ -107,12 +107,13 @@
             flow.retransmits = 0
             effects += _report_answered(now_ms, flow, target)
             flow.end_request()
-            effects += record_answer(now_ms, target)
+            effects += self._record_answer(now_ms, target)
         end = event.sequence + event.data_bytes
         if event.data_bytes and is_after(end, flow.sent_end):
             flow.sent_end, flow.sent_ms = end, now_ms
             flow.begin_request(now_ms)
             flow.request = flow.request or event.packet
+            effects += self._state.reachability_checks.check_in_lost_zone(now_ms, target)
         elif event.data_bytes and now_ms - flow.sent_ms >= MIN_RETRANSMIT_GAP_MS:
             flow.retransmits += 1
             effects += _report_retransmitted(now_ms, flow, target)
@@ -120,6 +121,10 @@
                 effects += self._state.reachability_checks.start_check(now_ms, target)
         return effects
 
+    def _record_answer(self, now_ms: int, target: KnownTarget) -> list[DirectEffect]:
+        self._state.reachability_checks.record_answer(now_ms, target)
+        return record_answer(now_ms, target)
+
     def _reset(
         self, now_ms: int, flow: Flow, target: KnownTarget, ack_number: int
     ) -> list[DirectEffect]:
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -93,9 +93,9 @@
             return
         is_busy = self.busy_since_ms is not None
         if self.target is not None:
-            self.target.open_flows -= 1
+            self.target.flows.discard(self)
             self.target.busy_requests -= is_busy
-        target.open_flows += 1
+        target.flows.add(self)
         target.busy_requests += is_busy
         self.target = target
 
@@ -116,10 +116,19 @@
         """Remove the flow from its target's counts."""
         self.end_request()
         if self.target is not None:
-            self.target.open_flows -= 1
+            self.target.flows.discard(self)
             self.target = None
 
 
+def waiting_for(target: KnownTarget) -> list[Flow]:
+    """Return the open flows that have a request in progress at a target."""
+    return [
+        flow
+        for flow in target.flows
+        if flow.phase is FlowPhase.OPEN and flow.busy_since_ms is not None
+    ]
+
+
 def is_after(position: int, other: int) -> bool:
     """Return whether one position in the 32-bit sequence space comes after another."""
     return 0 < (position - other) & SEQUENCE_MASK < SEQUENCE_HALF
@@ -151,16 +160,6 @@
         if flow is not None:
             flow.release()
 
-    def waiting_for(self, target: KnownTarget) -> list[Flow]:
-        """Return the open flows that have a request in progress at a target."""
-        return [
-            flow
-            for flow in self._flows.values()
-            if flow.target is target
-            and flow.phase is FlowPhase.OPEN
-            and flow.busy_since_ms is not None
-        ]
-
     def next_for_expiry(self) -> Iterator[Flow]:
         """Yield a bounded number of flows; successive calls cover all of them in turn."""
         if not self._expiry_queue:
--- a/packages/core/src/fuchsiaspread_core/direct/open_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/open_handler.py
@@ -69,7 +69,10 @@
         candidates = self._state.targets.of_service(service)
         # An open that one target did not answer is retried in another zone, which may be reachable.
         avoided_zones = {known.published.zone for known in candidates if known.name in flow.tried}
-        target = self._placement.choose(now_ms, flow.key, candidates, flow.tried, avoided_zones)
+        lost_zones = self._state.reachability_checks.lost_zones(now_ms)
+        target = self._placement.choose(
+            now_ms, flow.key, candidates, flow.tried, avoided_zones, lost_zones
+        )
         if target is None:
             return self._drop_or_refuse(flow)
         placed = OpenPlaced(
--- a/packages/core/src/fuchsiaspread_core/direct/placement.py
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -25,8 +25,13 @@
         candidates: Collection[KnownTarget],
         tried: Collection[TargetName] = (),
         avoided_zones: Collection[ZoneName] = (),
+        lost_zones: Collection[ZoneName] = (),
     ) -> KnownTarget | None:
-        """Return the target for an open, or None; suspect targets are a last resort."""
+        """Return the target for an open, or None; suspect targets are a last resort.
+
+        Targets in `lost_zones` count as unreachable; those in `avoided_zones` are the second choice
+        among the reachable ones.
+        """
         usable = [
             known
             for known in candidates
@@ -36,7 +41,10 @@
         ]
         if not usable:
             return None
-        reachable = [known for known in usable if not known.reachability.is_unreachable] or usable
+        connected = [known for known in usable if not known.reachability.is_unreachable] or usable
+        reachable = [
+            known for known in connected if known.published.zone not in lost_zones
+        ] or connected
         preferred = [known for known in reachable if known.health.is_preferred(now_ms)] or reachable
         elsewhere = [known for known in preferred if known.published.zone not in avoided_zones]
         loads = [(self.load(now_ms, known), known) for known in elsewhere or preferred]
--- a/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
@@ -1,12 +1,14 @@
 """Connection checks of targets that do not answer, and of other targets in the same zone."""
 
+from typing import assert_never
+
 from ..identifiers import TargetName, ZoneName
 from .effects import CheckTarget, DirectEffect, Notify
 from .events import CheckOutcome
 from .notices import ReachabilityChanged
 from .reachability import ReachabilityEvent
 from .targets import KnownTarget, TargetDirectory
-from .zone_checks import ZoneChecks
+from .zone_checks import ZoneChecks, witness
 
 EVENT_BY_OUTCOME = {
     CheckOutcome.CONNECTED: ReachabilityEvent.CONNECTED,
@@ -28,6 +30,20 @@
         """Check a target that did not answer, unless a check is running or has just ended."""
         return _check(known) if known.reachability.apply(now_ms, ReachabilityEvent.DOUBT) else []
 
+    def lost_zones(self, now_ms: int) -> frozenset[ZoneName]:
+        """Return the zones that cannot be reached."""
+        return self._zone_checks.lost_zones(now_ms) if self._unreachable else frozenset()
+
+    def record_answer(self, now_ms: int, known: KnownTarget) -> None:
+        """Record that a target answered a caller."""
+        self._zone_checks.record_answer(now_ms, known)
+
+    def check_in_lost_zone(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
+        """Check a target that a caller needs, if the target's zone is lost."""
+        if not self._unreachable or not self._zone_checks.is_lost(now_ms, known.published.zone):
+            return []
+        return self.start_check(now_ms, known)
+
     def handle_outcome(
         self, now_ms: int, known: KnownTarget, outcome: CheckOutcome
     ) -> list[DirectEffect]:
@@ -42,6 +58,10 @@
                 self._zone_checks.record_reachable(now_ms, known)
             case CheckOutcome.INCONCLUSIVE:
                 self._zone_checks.record_unknown(now_ms, known)
+            case CheckOutcome.TIMED_OUT:
+                self._zone_checks.record_timeout(now_ms, known)
+            case _:
+                assert_never(outcome)
         if is_unreachable is was_unreachable:
             return []
         zone = known.published.zone
@@ -85,8 +105,15 @@
             checked.add(zone)
             known.reachability.apply(now_ms, ReachabilityEvent.DUE)
             effects += _check(known)
+            if self._zone_checks.is_lost(now_ms, zone):
+                effects += self._check_witness(now_ms, known)
         return effects
 
+    def _check_witness(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
+        """Check another target of a lost zone: the unreachable ones may just be dead."""
+        other = witness(now_ms, self._others_in_zone(known))
+        return [] if other is None else self.start_check(now_ms, other)
+
     def _others_in_zone(self, known: KnownTarget) -> list[KnownTarget]:
         zone = known.published.zone
         return [one for one in self._targets if one.published.zone == zone and one is not known]
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 from xxhash import xxh3_64_intdigest
 
@@ -10,6 +11,9 @@
 from .reachability import Reachability
 from .target_health import TargetHealth
 
+if TYPE_CHECKING:
+    from .flows import Flow
+
 # The cookie field of a packet has 32 bits; 0 means that the packet carries no cookie.
 COOKIE_MASK = 2**32 - 1
 # After an outage the store may lack entries of live targets, which register again within 2 s.
@@ -56,8 +60,8 @@
         "busy_requests",
         "cold_until_ms",
         "cookie",
+        "flows",
         "health",
-        "open_flows",
         "phase_since_ms",
         "published",
         "reachability",
@@ -69,7 +73,8 @@
         self.health = TargetHealth()
         self.reachability = Reachability()
         self.busy_requests = 0
-        self.open_flows = 0
+        # The records of its flows, so that the loss of a target does not search all flows.
+        self.flows: set[Flow] = set()
         self.phase_since_ms = now_ms
         self.cold_until_ms = now_ms + published.cold_ms
 
@@ -78,6 +83,11 @@
         """Return the target's name."""
         return self.published.name
 
+    @property
+    def open_flows(self) -> int:
+        """Return the number of flow records of this target."""
+        return len(self.flows)
+
     def update(self, now_ms: int, published: PublishedTarget) -> None:
         """Apply a changed entry."""
         if published.phase is not self.published.phase:
--- a/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
@@ -10,7 +10,14 @@
 SAMPLE_TARGETS = 3
 # No new sample starts for this long after a target of the zone was reached.
 CALM_MS = 1_000
-# A sample whose outcomes were lost counts as over after this time.
+# A target of the zone that answered a caller this recently shows that the zone is reachable: a
+# check that timed out started before that.
+ANSWER_PROOF_MS = 200
+# Targets of a lost zone that are checked at once. The others follow when a caller needs them, so
+# that a partition does not cost connections of VMs times targets.
+MAX_CHECKS_AFTER_ZONE_LOSS = 64
+# A sample whose outcomes were lost, or the loss of a zone that no check confirms any more, counts
+# as over after this time.
 PHASE_LIFETIME_MS = 3_000
 
 
@@ -27,6 +34,7 @@
 
     TARGET_LOST = "target_lost"
     SAMPLE_LOST = "sample_lost"
+    STILL_LOST = "still_lost"
     REACHABLE = "reachable"
     UNKNOWN = "unknown"
 
@@ -37,37 +45,45 @@
     (ZonePhase.SAMPLING, ZoneEvent.SAMPLE_LOST): ZonePhase.LOST,
     (ZonePhase.SAMPLING, ZoneEvent.REACHABLE): ZonePhase.CALM,
     (ZonePhase.SAMPLING, ZoneEvent.UNKNOWN): ZonePhase.CALM,
+    (ZonePhase.LOST, ZoneEvent.STILL_LOST): ZonePhase.LOST,
     (ZonePhase.LOST, ZoneEvent.REACHABLE): ZonePhase.CALM,
 }
 
 
 class _Zone:
-    __slots__ = ("calm_until_ms", "phase", "since_ms", "waiting")
+    __slots__ = ("answered_ms", "calm_until_ms", "confirmed_ms", "phase", "waiting")
 
     def __init__(self) -> None:
         self.phase = ZonePhase.CALM
-        self.since_ms = 0
+        # When the phase began, or the last check that confirmed it ended.
+        self.confirmed_ms = 0
         self.calm_until_ms = 0
+        self.answered_ms = -ANSWER_PROOF_MS
         # Sampled targets whose checks have not ended.
         self.waiting: set[TargetName] = set()
 
     def apply(self, now_ms: int, event: ZoneEvent) -> bool:
         """Apply an event; return whether the phase changed."""
-        if self.phase is not ZonePhase.CALM and now_ms - self.since_ms > PHASE_LIFETIME_MS:
-            self.phase = ZonePhase.CALM
-        before = self.phase
-        self.phase = TRANSITIONS.get((before, event), before)
-        if self.phase is before:
+        before = self.phase_at(now_ms)
+        after = TRANSITIONS.get((before, event))
+        if after is None:
             return False
-        self.since_ms = now_ms
-        return True
+        self.phase, self.confirmed_ms = after, now_ms
+        return after is not before
+
+    def phase_at(self, now_ms: int) -> ZonePhase:
+        """Return the phase; one that nothing confirms for long has ended."""
+        if now_ms - self.confirmed_ms > PHASE_LIFETIME_MS:
+            return ZonePhase.CALM
+        return self.phase
 
 
 class ZoneChecks:
     """Choose the targets of a zone to check after one of them could not be reached.
 
     Each entry VM notices a dead target by itself. Checking the target's whole zone each time would
-    cost connections of VMs times targets, so the zone is checked only if a sample of it is lost.
+    cost connections of VMs times targets. So a sample decides whether the zone is lost, and of a
+    lost zone only the targets whose callers would wait are checked.
     """
 
     def __init__(self) -> None:
@@ -77,12 +93,12 @@
         self, now_ms: int, lost: KnownTarget, others: Collection[KnownTarget]
     ) -> list[KnownTarget]:
         """Return which other targets of the zone to check now."""
-        zone = self._zones.setdefault(lost.published.zone, _Zone())
+        zone = self._zone_of(lost)
         if lost.name in zone.waiting:
             zone.waiting.remove(lost.name)
             if not zone.waiting and zone.apply(now_ms, ZoneEvent.SAMPLE_LOST):
-                return list(others)
-        if now_ms < zone.calm_until_ms:
+                return _with_flows(others)
+        if now_ms < zone.calm_until_ms or now_ms - zone.answered_ms < ANSWER_PROOF_MS:
             return []
         sample = _sample(now_ms, others)
         if not sample or not zone.apply(now_ms, ZoneEvent.TARGET_LOST):
@@ -90,6 +106,27 @@
         zone.waiting = {one.name for one in sample}
         return sample
 
+    def is_lost(self, now_ms: int, name: ZoneName) -> bool:
+        """Return whether a zone is lost: a sample of its targets could not be reached."""
+        zone = self._zones.get(name)
+        return zone is not None and zone.phase_at(now_ms) is ZonePhase.LOST
+
+    def lost_zones(self, now_ms: int) -> frozenset[ZoneName]:
+        """Return the zones that are lost."""
+        return frozenset([name for name in self._zones if self.is_lost(now_ms, name)])
+
+    def record_answer(self, now_ms: int, known: KnownTarget) -> None:
+        """Record that a target of a zone answered a caller."""
+        zone = self._zone_of(known)
+        zone.answered_ms = now_ms
+        if zone.phase is not ZonePhase.CALM:
+            zone.apply(now_ms, ZoneEvent.REACHABLE)
+            zone.waiting.clear()
+
+    def record_timeout(self, now_ms: int, known: KnownTarget) -> None:
+        """Record that a check of a target timed out, which confirms that a lost zone still is."""
+        self._zone_of(known).apply(now_ms, ZoneEvent.STILL_LOST)
+
     def record_reachable(self, now_ms: int, known: KnownTarget) -> None:
         """Record that the network path to a target of a zone is intact."""
         zone = self._zones.get(known.published.zone)
@@ -105,8 +142,33 @@
             zone.apply(now_ms, ZoneEvent.UNKNOWN)
             zone.waiting.clear()
 
+    def _zone_of(self, known: KnownTarget) -> _Zone:
+        name = known.published.zone
+        zone = self._zones.get(name)
+        if zone is None:
+            zone = self._zones[name] = _Zone()
+        return zone
+
+
+def witness(now_ms: int, targets: Collection[KnownTarget]) -> KnownTarget | None:
+    """Return the target whose check best shows whether their zone is reachable, or None.
+
+    It is the one that answered last, since it is the least likely to be dead by itself.
+    """
+    usable = [one for one in targets if one.reachability.can_be_doubted(now_ms)]
+    return max(usable, key=lambda one: one.health.answered_ms, default=None)
+
+
+def _with_flows(others: Collection[KnownTarget]) -> list[KnownTarget]:
+    """Return the targets with open flows, those with the most first, up to a limit."""
+    used = [one for one in others if one.open_flows]
+    return sorted(used, key=lambda one: -one.open_flows)[:MAX_CHECKS_AFTER_ZONE_LOSS]
+
 
 def _sample(now_ms: int, others: Collection[KnownTarget]) -> list[KnownTarget]:
-    """Return targets to check; those that hold requests come first, since their callers wait."""
-    usable = [one for one in others if one.reachability.can_be_doubted(now_ms)]
-    return sorted(usable, key=lambda one: -one.busy_requests)[:SAMPLE_TARGETS]
+    """Return targets to check: one that is likely to live, and those whose callers wait."""
+    first = witness(now_ms, others)
+    if first is None:
+        return []
+    usable = [one for one in others if one is not first and one.reachability.can_be_doubted(now_ms)]
+    return [first, *sorted(usable, key=lambda one: -one.busy_requests)][:SAMPLE_TARGETS]
