Go on forwarding during a planned stop for as long as packets come

Cause: a stopping entry VM ended 1.6 s after SIGTERM. Change: the core decides when a stop is over: after 1.6 s and 0.6 s without a packet, at the latest 2.5 s before the process is killed. A second SIGTERM does not extend it.

--- a/packages/bench/src/fuchsiaspread_bench/direct_capacity.py
+++ b/packages/bench/src/fuchsiaspread_bench/direct_capacity.py
@@ -34,6 +34,7 @@
 TARGETS_PER_SERVICE = 6
 ZONE_COUNT = 3
 FLOW_LIFETIME_MS = 60_000
+STOP_GRACE_MS = 6_000
 TICKS = 50
 FIRST_PORT = 20_000
 
@@ -78,7 +79,7 @@
 
 def core_of(target_count: int) -> DirectCore:
     """Return a configured core."""
-    core = DirectCore(1, FLOW_LIFETIME_MS)
+    core = DirectCore(1, FLOW_LIFETIME_MS, STOP_GRACE_MS)
     core.handle(0, RoutesPublished(routes_of(target_count)))
     core.handle(0, TargetsListed(targets_of(target_count)))
     return core
--- a/packages/core/src/fuchsiaspread_core/direct/__init__.py
+++ b/packages/core/src/fuchsiaspread_core/direct/__init__.py
@@ -1,7 +1,15 @@
 """Load balancing of flows whose targets answer callers directly (direct server return)."""
 
 from .core import DirectCore
-from .effects import CheckTarget, DirectEffect, ForwardOpen, ForwardPacket, Notify, ResetCaller
+from .effects import (
+    CheckTarget,
+    DirectEffect,
+    EndProcess,
+    ForwardOpen,
+    ForwardPacket,
+    Notify,
+    ResetCaller,
+)
 from .events import (
     CheckOutcome,
     DirectEvent,
@@ -26,6 +34,7 @@
     "DirectCore",
     "DirectEffect",
     "DirectEvent",
+    "EndProcess",
     "FlowPacket",
     "ForwardOpen",
     "ForwardPacket",
--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -2,7 +2,7 @@
 
 from typing import assert_never
 
-from .effects import DirectEffect, Notify
+from .effects import DirectEffect, EndProcess, Notify
 from .events import (
     DirectEvent,
     FlowPacket,
@@ -22,6 +22,7 @@
 from .routes import RouteSet
 from .startup_buffer import CallerPacket, StartupBuffer
 from .state import DirectState
+from .stop_drain import StopDrain
 from .target_updates import apply_list, apply_target, remove_target
 from .targets import TargetDirectory
 
@@ -32,7 +33,7 @@
 class DirectCore:
     """Choose targets for new flows, route open flows by cookie, and track target health."""
 
-    def __init__(self, seed: int, flow_lifetime_ms: int) -> None:
+    def __init__(self, seed: int, flow_lifetime_ms: int, stop_grace_ms: int) -> None:
         self.targets = TargetDirectory(flow_lifetime_ms)
         self._state = DirectState(self.targets)
         self._opens = OpenHandler(self._state, seed)
@@ -40,12 +41,12 @@
         self._startup_buffer = StartupBuffer()
         self._has_targets = False
         self._last_event_ms: int | None = None
-        self._is_stopping = False
+        self._stop_drain = StopDrain(stop_grace_ms)
 
     @property
     def is_ready(self) -> bool:
         """Return whether the entry VM is configured and not stopping."""
-        return self._is_configured and not self._is_stopping
+        return self._is_configured and not self._stop_drain.is_draining
 
     @property
     def flow_count(self) -> int:
@@ -86,7 +87,7 @@
                 # Routes and targets stay in use while the store is unreachable.
                 pass
             case StopRequested():
-                self._is_stopping = True
+                self._stop_drain.start(now_ms)
             case _:
                 assert_never(event)
         return effects
@@ -101,6 +102,7 @@
         return [Notify(ProcessPaused(gap_ms))]
 
     def _handle_packet(self, now_ms: int, packet: CallerPacket) -> list[DirectEffect]:
+        self._stop_drain.record_packet(now_ms)
         if self._is_configured and not self._startup_buffer:
             return self._dispatch(now_ms, packet)
         if self._startup_buffer.add(now_ms, packet):
@@ -122,6 +124,8 @@
         return [Notify(RoutesApplied(routes.version, len(routes.routes)))]
 
     def _tick(self, now_ms: int) -> list[DirectEffect]:
+        if self._stop_drain.is_over(now_ms):
+            return [EndProcess()]
         effects: list[DirectEffect] = []
         if self._is_configured:
             for packet in self._startup_buffer.pop_batch(now_ms):
--- a/packages/core/src/fuchsiaspread_core/direct/effects.py
+++ b/packages/core/src/fuchsiaspread_core/direct/effects.py
@@ -48,4 +48,9 @@
     notice: DirectNotice
 
 
-DirectEffect = ForwardOpen | ForwardPacket | ResetCaller | CheckTarget | Notify
+@dataclass(frozen=True, slots=True)
+class EndProcess:
+    """End the process: a requested stop is complete."""
+
+
+DirectEffect = ForwardOpen | ForwardPacket | ResetCaller | CheckTarget | Notify | EndProcess
--- a/packages/core/src/fuchsiaspread_core/direct/events.py
+++ b/packages/core/src/fuchsiaspread_core/direct/events.py
@@ -92,7 +92,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """Request a graceful stop."""
+    """Request a graceful stop; `EndProcess` follows when no packets come any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/tests/direct/site.py
+++ b/packages/core/tests/direct/site.py
@@ -40,6 +40,7 @@
 ZONES = ("centre", "north", "south")
 FLOW_LIFETIME_MS = 60_000
 IDLE_TIMEOUT_MS = 15_000
+STOP_GRACE_MS = 6_000
 
 
 def target(number: int, service: ServiceName = DESK, **changes: object) -> PublishedTarget:
@@ -83,7 +84,7 @@
     )
     now_ms: int = 10_000
     checked: list[TargetName] = field(default_factory=list)
-    core: DirectCore = field(default_factory=lambda: DirectCore(7, FLOW_LIFETIME_MS))
+    core: DirectCore = field(default_factory=lambda: DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS))
 
     def __post_init__(self) -> None:
         self.handle(RoutesPublished(routes()))
--- a/packages/core/tests/direct/test_opens.py
+++ b/packages/core/tests/direct/test_opens.py
@@ -23,6 +23,7 @@
     FLOW_LIFETIME_MS,
     INSPECTION,
     SCAN_ADDRESS,
+    STOP_GRACE_MS,
     Site,
     flow_of,
     flow_packet,
@@ -153,7 +154,7 @@
 class StartTest(unittest.TestCase):
     def test_packets_are_buffered_until_routes_and_targets_are_known(self) -> None:
         """Guards against dropping opens while a restarted entry VM still reads the store."""
-        core = DirectCore(7, FLOW_LIFETIME_MS)
+        core = DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS)
         self.assertEqual(core.handle(0, open_packet(1)), [])
         core.handle(20, RoutesPublished(routes()))
         core.handle(40, TargetsListed((target(1),)))
@@ -164,7 +165,7 @@
 
     def test_expired_buffered_packets_are_dropped(self) -> None:
         """Guards against forwarding opens of callers that have given up."""
-        core = DirectCore(7, FLOW_LIFETIME_MS)
+        core = DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS)
         core.handle(0, open_packet(1))
         core.handle(20, RoutesPublished(routes()))
         core.handle(1_900, TargetsListed((target(1),)))
@@ -173,7 +174,7 @@
 
     def test_packets_keep_their_order_while_others_are_buffered(self) -> None:
         """Guards against handling a flow's second packet before its buffered first one."""
-        core = DirectCore(7, FLOW_LIFETIME_MS)
+        core = DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS)
         for number in range(MAX_RELEASED_AT_ONCE + 1):
             core.handle(0, open_packet(number))
         core.handle(20, RoutesPublished(routes()))
@@ -186,7 +187,7 @@
 
     def test_buffered_packets_are_bounded(self) -> None:
         """Guards against memory use that grows while the store is down."""
-        core = DirectCore(7, FLOW_LIFETIME_MS)
+        core = DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS)
         for number in range(MAX_BUFFERED_PACKETS):
             self.assertEqual(core.handle(0, open_packet(number)), [])
         self.assertEqual(len(core.handle(0, open_packet(MAX_BUFFERED_PACKETS))), 1)
--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -9,8 +9,8 @@
     DirectCore,
     DirectEffect,
     DirectEvent,
+    EndProcess,
     Notify,
-    StopRequested,
     StoreReached,
     Tick,
 )
@@ -41,7 +41,7 @@
         mailboxes: DirectMailboxes,
         notices: NoticeLog,
         now_ms: Callable[[], int],
-        on_stop: Callable[[], None],
+        on_end: Callable[[], None],
     ) -> None:
         self._core = core
         self._mailbox = mailboxes.core
@@ -50,7 +50,7 @@
         self._readiness = mailboxes.readiness
         self._notices = notices
         self._now_ms = now_ms
-        self._on_stop = on_stop
+        self._on_end = on_end
         self._counts = DirectCounts()
         self._is_ready = False
         self._timer: asyncio.TimerHandle | None = None
@@ -95,11 +95,11 @@
                     case CheckTarget():
                         if not self._checks.put(CheckAsked(effect)):
                             self._notices.write_lost_check(effect.target)
+                    case EndProcess():
+                        self._on_end()
                     case _:
                         sent.append(effect)
             match event:
-                case StopRequested():
-                    self._on_stop()
                 case StoreReached(is_reachable=True):
                     self._counts.store_answered_ms = now_ms
         if sent:
--- a/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/daemon.py
@@ -24,8 +24,6 @@
 from .store_task import StoreTask
 
 SEED_RANGE = 2**63
-# The fabric probes the readiness every half second and removes this VM after two failed probes.
-DEREGISTRATION_DELAY_S = 1.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,9 +59,9 @@
         self._store = StoreTask(store_reader, pacing, seed, mailboxes, log)
         self._metrics = MetricsTask(sockets.metrics, mailboxes, now_ms, log)
         self._checks = CheckTask(mailboxes, now_ms, log)
-        core = DirectCore(seed, settings.flow_lifetime_ms)
+        core = DirectCore(seed, settings.flow_lifetime_ms, settings.stop_grace_ms)
         self._core = CoreTask(
-            core, mailboxes, NoticeLog(log, codec.request_id), now_ms, self._schedule_exit
+            core, mailboxes, NoticeLog(log, codec.request_id), now_ms, self._stopped.set
         )
 
     async def run(self) -> bool:
@@ -83,7 +81,3 @@
         """Request a graceful stop."""
         self._log.write(Level.INFO, "stop_requested")
         self._mailboxes.core.put_control(EventsReceived([StopRequested()]))
-
-    def _schedule_exit(self) -> None:
-        # Keep forwarding packets until the fabric has stopped sending them here.
-        asyncio.get_running_loop().call_later(DEREGISTRATION_DELAY_S, self._stopped.set)
--- a/packages/entry/src/fuchsiaspread_entry/direct/settings.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/settings.py
@@ -16,5 +16,7 @@
     readiness_path: str
     metrics: Endpoint
     flow_lifetime_ms: int
+    # Time from the request to stop until the process is killed.
+    stop_grace_ms: int
     # Pause before the next call to the store after it has reported changes.
     store_pause_ms: int
--- a/packages/entry/tests/direct/test_core_task.py
+++ b/packages/entry/tests/direct/test_core_task.py
@@ -45,7 +45,7 @@
         self.lines: list[dict[str, object]] = []
         self.stopped = asyncio.Event()
         log = Log(Level.INFO, lambda: 1_000, lambda **fields: self.lines.append(fields))
-        self.core = DirectCore(1, 60_000)
+        self.core = DirectCore(1, 60_000, stop_grace_ms=0)
         notices = NoticeLog(log, lambda packet: None)
         self.task = CoreTask(
             self.core, self.mailboxes, notices, lambda: 1_000, lambda: self.stopped.set()
@@ -70,7 +70,7 @@
         for _ in range(MAILBOX_LIMIT + 1):
             self.mailboxes.core.put(EventsReceived([]))
         self.mailboxes.core.put_control(EventsReceived([TargetsListed((TARGET,))]))
-        self.mailboxes.core.put_control(EventsReceived([StopRequested()]))
+        self.mailboxes.core.put_control(EventsReceived([StopRequested(), Tick()]))
         await self._run_until(self.stopped.is_set)
         self.assertIsNotNone(self.core.targets.by_name(TARGET.name))
 
