Follow a target that starts again at another address

Cause: the directory kept the first address of a target that had started again under its name elsewhere. When a host of another service got that address, the living target counted as gone and its retried idempotent requests were reset; and a target that moved to a used address did not end the former owner there, so opens went on to an address of another service's host. Change: an address is released and claimed with each change of an entry.

--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -153,11 +153,14 @@
             return True
         if known.published == published:
             return False
-        service = known.published.service
+        before = known.published
         known.update(now_ms, published)
-        if service != published.service:
-            self._by_service[service].remove(known)
+        if before.service != published.service:
+            self._by_service[before.service].remove(known)
             self._by_service.setdefault(published.service, []).append(known)
+        if before.endpoint != published.endpoint:
+            self._release_endpoint(known, before.endpoint)
+            self._claim_endpoint(now_ms, known)
         return True
 
     def remove(self, now_ms: int, name: TargetName) -> bool:
@@ -192,8 +195,7 @@
                 del self._by_name[known.name]
                 if self._by_cookie.get(known.cookie) is known:
                     del self._by_cookie[known.cookie]
-                if self._by_endpoint.get(known.published.endpoint) is known:
-                    del self._by_endpoint[known.published.endpoint]
+                self._release_endpoint(known, known.published.endpoint)
                 self._by_service[known.published.service].remove(known)
 
     def _add(self, now_ms: int, published: PublishedTarget) -> None:
@@ -204,17 +206,22 @@
         if other is None or published.name < other.name:
             self._by_cookie[known.cookie] = known
         self._by_service.setdefault(published.service, []).append(known)
-        former = self._by_endpoint.get(published.endpoint)
-        if former is None or former.published.started_ms < published.started_ms:
-            self._by_endpoint[published.endpoint] = known
-            self._supersede(now_ms, former)
-
-    def _supersede(self, now_ms: int, former: KnownTarget | None) -> None:
-        """Mark a target as permanently gone, since a newer target has its address."""
+        self._claim_endpoint(now_ms, known)
+
+    def _claim_endpoint(self, now_ms: int, known: KnownTarget) -> None:
+        """Give a target its address; an older target that had the address is gone for good."""
+        former = self._by_endpoint.get(known.published.endpoint)
+        if former is not None and former.published.started_ms >= known.published.started_ms:
+            return
+        self._by_endpoint[known.published.endpoint] = known
         if former is not None:
             self.remove(now_ms, former.name)
             former.phase_since_ms = min(former.phase_since_ms, now_ms - REMOVAL_GRACE_MS)
 
+    def _release_endpoint(self, known: KnownTarget, endpoint: Endpoint) -> None:
+        if self._by_endpoint.get(endpoint) is known:
+            del self._by_endpoint[endpoint]
+
     def owns_cookie(self, known: KnownTarget) -> bool:
         """Return whether a target's cookie resolves to it; otherwise it gets no new flows."""
         return self._by_cookie.get(known.cookie) is known
