Tell the packets of a former flow from those of a new one with its key

Causes, each with a test that failed first (test_flows): - A caller uses a port again. A late packet of its former flow moved the new flow's record to the former target, and a late reset removed it, so that an unanswered open was not retried. An opening flow now owns the packets whose sequence numbers follow its open. - A request whose last data also closes the caller's side ended its record: its busy target counted as idle, and request_unanswered was logged with waited_ms=0. The record now lasts until the answer. - A target whose entry expired while it answered other callers was given up: a retransmitted idempotent request was reset and ran a second time elsewhere.

--- a/packages/bench/src/fuchsiaspread_bench/direct_capacity.py
+++ b/packages/bench/src/fuchsiaspread_bench/direct_capacity.py
@@ -95,7 +95,7 @@
     """Open flows, handle one packet of each caller, and return the flows' cookies."""
     cookies = []
     for number in range(count):
-        effects = core.handle(number // 10, OpenPacket(flow_of(number), 0, b"open"))
+        effects = core.handle(number // 10, OpenPacket(flow_of(number), 0, 0, b"open"))
         (opened,) = (effect for effect in effects if isinstance(effect, ForwardOpen))
         cookies.append(opened.cookie)
         core.handle(number // 10, packet_of(number, opened.cookie, 1, 0))
--- a/packages/core/src/fuchsiaspread_core/direct/events.py
+++ b/packages/core/src/fuchsiaspread_core/direct/events.py
@@ -16,6 +16,7 @@
     """Report a caller's open (SYN); `retransmit_count` is 0 for the first one."""
 
     flow: FlowKey
+    sequence: int
     retransmit_count: int
     packet: bytes
 
--- a/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
@@ -47,11 +47,11 @@
         if flow is None and event.data_bytes and not event.is_reset:
             flow = state.flows.add(event.flow, route, now_ms, FlowPhase.OPEN)
         effects: list[DirectEffect] = []
-        if flow is not None:
+        if flow is not None and flow.owns(event.sequence):
             effects += self._observe(now_ms, flow, target, event)
             if event.data_bytes and _should_reset(now_ms, flow, target):
                 return effects + self._reset(now_ms, flow, target, event.ack_number)
-            if event.is_reset or event.is_last:
+            if _has_ended(event):
                 end = RequestEnd.CALLER_RESET if event.is_reset else RequestEnd.CALLER_CLOSED
                 effects += _report_unanswered(now_ms, flow, end)
                 state.flows.remove(event.flow)
@@ -135,11 +135,23 @@
         return [ResetCaller(flow.key, ack_number), Notify(reset)]
 
 
+def _has_ended(event: FlowPacket) -> bool:
+    """Return whether a caller's packet ends its flow.
+
+    A caller may close its side with the last data of its request and still wait for the answer.
+    """
+    return event.is_reset or (event.is_last and not event.data_bytes)
+
+
 def _should_reset(now_ms: int, flow: Flow, target: KnownTarget) -> bool:
     """Return whether a flow's target is lost and its caller may safely retry the request."""
     if flow.route.kind is not RouteKind.IDEMPOTENT:
         return False
-    return target.reachability.is_unreachable or (flow.retransmits > 0 and target.is_gone(now_ms))
+    if target.reachability.is_unreachable:
+        return True
+    # A target that answers others while its entry is missing is only slow to report.
+    is_silent = target.health.answered_ms <= flow.sent_ms
+    return flow.retransmits > 0 and is_silent and target.is_gone(now_ms)
 
 
 def _report_answered(now_ms: int, flow: Flow, target: KnownTarget) -> list[DirectEffect]:
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -12,6 +12,8 @@
 
 SEQUENCE_MASK = 2**32 - 1
 SEQUENCE_HALF = 2**31
+# A caller sends fewer bytes than this before its first packet has passed an entry VM.
+MAX_FIRST_BYTES = 2**20
 # Upper bound on the records that one tick checks for expiry.
 MAX_EXPIRY_CHECKS_PER_TICK = 500
 
@@ -34,6 +36,7 @@
         "last_seen_ms",
         "open_packet",
         "open_retransmit_count",
+        "open_sequence",
         "opened_ms",
         "phase",
         "request",
@@ -53,6 +56,7 @@
         self.tried: list[TargetName] = []
         self.open_packet = b""
         self.open_retransmit_count = 0
+        self.open_sequence = 0
         self.opened_ms = now_ms
         self.attempt_ms = now_ms
         self.last_seen_ms = now_ms
@@ -76,6 +80,16 @@
         """Return whether the attempt made at `attempt_ms` is the last one and still unanswered."""
         return self.phase is FlowPhase.OPENING and self.attempt_ms == attempt_ms
 
+    def owns(self, sequence: int) -> bool:
+        """Return whether a packet is of this flow, and not of a former one with the same key.
+
+        The sequence numbers of a flow start at a random one. Once the flow is open its own packets
+        have confirmed its record, and only an opening one has to be told apart.
+        """
+        if self.phase is FlowPhase.OPEN:
+            return True
+        return (sequence - self.open_sequence) & SEQUENCE_MASK < MAX_FIRST_BYTES
+
     def is_busy_longer_than(self, now_ms: int, limit_ms: int) -> bool:
         """Return whether a request has been in progress for longer than a limit."""
         return self.busy_since_ms is not None and now_ms - self.busy_since_ms > limit_ms
--- a/packages/core/src/fuchsiaspread_core/direct/open_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/open_handler.py
@@ -48,11 +48,8 @@
         if flow is None or event.retransmit_count <= flow.open_retransmit_count:
             flow = self._state.flows.add(event.flow, route, now_ms, FlowPhase.OPENING)
             self._budget.earn()
-        flow.open_retransmit_count, flow.open_packet, flow.last_seen_ms = (
-            event.retransmit_count,
-            event.packet,
-            now_ms,
-        )
+        flow.open_sequence, flow.open_packet = event.sequence, event.packet
+        flow.open_retransmit_count, flow.last_seen_ms = event.retransmit_count, now_ms
         return self._place(now_ms, flow)
 
     def retry_due(self, now_ms: int) -> list[DirectEffect]:
--- a/packages/core/tests/direct/site.py
+++ b/packages/core/tests/direct/site.py
@@ -128,9 +128,8 @@
     number: int, address: Endpoint = FEED_ADDRESS, retransmit_count: int = 0
 ) -> OpenPacket:
     """Return a caller's open; retransmissions differ in their bytes."""
-    return OpenPacket(
-        flow_of(number, address), retransmit_count, b"open %d %d" % (number, retransmit_count)
-    )
+    packet = b"open %d %d" % (number, retransmit_count)
+    return OpenPacket(flow_of(number, address), 0, retransmit_count, packet)
 
 
 def flow_packet(
--- a/packages/core/tests/direct/test_flows.py
+++ b/packages/core/tests/direct/test_flows.py
@@ -3,15 +3,24 @@
 import unittest
 
 from fuchsiaspread_core.direct import (
+    CheckOutcome,
+    ForwardOpen,
     ForwardPacket,
     RoutesPublished,
+    TargetChecked,
     TargetPublished,
     TargetRemoved,
     Tick,
 )
+from fuchsiaspread_core.direct.notices import RequestUnanswered
+from fuchsiaspread_core.direct.targets import KnownTarget
+from fuchsiaspread_core.identifiers import TargetName
 
 from .site import Site, flow_packet, is_reset_of, routes, target
 
+TIMED_OUT = CheckOutcome.TIMED_OUT
+FORMER_SEQUENCE = 3_000_000_000
+
 
 class FlowsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -59,6 +68,82 @@
         self.site.handle(flow_packet(1, placed.cookie, 101, 900, is_last=True))
         self.assertEqual((known.busy_requests, known.open_flows), (0, 0))
 
+    def test_caller_that_closes_its_side_with_its_request_still_waits(self) -> None:
+        """Guards against a busy target that counts as idle, and a false report of no answer."""
+        placed = self.site.open(1)
+        self.site.answer(1, placed.cookie)
+        known = self.site.core.targets.by_name(placed.target)
+        assert known is not None
+        request = flow_packet(1, placed.cookie, 1, 500, 100, is_last=True)
+        notices = self.site.notices(request)
+        self.assertEqual([one for one in notices if isinstance(one, RequestUnanswered)], [])
+        self.assertEqual(known.busy_requests, 1)
+        self.site.handle(flow_packet(1, placed.cookie, 102, 900), 40)
+        self.assertEqual(known.busy_requests, 0)
+
+    def _reopen_elsewhere(self) -> tuple[ForwardOpen, ForwardOpen]:
+        """End a flow and open one with the same key; return the opens at two targets."""
+        former = self.site.open(1)
+        self.site.answer(1, former.cookie)
+        self.site.handle(flow_packet(1, former.cookie, FORMER_SEQUENCE, 600, is_reset=True))
+        self._known(former.target).busy_requests = 1
+        placed = self.site.open(1)
+        self.assertNotEqual(placed.target, former.target)
+        return former, placed
+
+    def _known(self, name: TargetName) -> KnownTarget:
+        known = self.site.core.targets.by_name(name)
+        assert known is not None
+        return known
+
+    def test_late_packet_of_a_former_flow_does_not_touch_the_new_one(self) -> None:
+        """Guards against a new flow that is judged by the target of a flow with the same key.
+
+        Pattern: a caller uses a port again while a packet of its former flow is still on its way.
+        """
+        former, placed = self._reopen_elsewhere()
+        (forward,) = self.site.handle(flow_packet(1, former.cookie, FORMER_SEQUENCE, 600, 100))
+        assert isinstance(forward, ForwardPacket)
+        self.assertEqual(forward.target, former.target)
+        self.assertEqual(self._known(placed.target).open_flows, 1)
+        self.assertEqual(self.site.handle(TargetChecked(former.target, TIMED_OUT)), [])
+        self.site.answer(1, placed.cookie)
+        self.assertEqual(self._known(placed.target).open_flows, 1)
+
+    def test_open_that_another_entry_vm_placed_as_well_is_taken_as_answered(self) -> None:
+        """Guards against a second connection for an open that one of its targets has answered.
+
+        Pattern: the fabric sends a copy of an open to another entry VM than the first one.
+        """
+        other = Site()
+        elsewhere = other.open(1)
+        self._known(elsewhere.target).busy_requests = 1
+        placed = self.site.open(1)
+        self.assertNotEqual(placed.target, elsewhere.target)
+        self.site.answer(1, elsewhere.cookie)
+        self.assertEqual(self.site.handle(Tick(), 60), [])
+
+    def test_late_reset_of_a_former_flow_does_not_end_the_new_one(self) -> None:
+        """Guards against an open whose retries stop because its record was removed."""
+        former, _ = self._reopen_elsewhere()
+        self.site.handle(flow_packet(1, former.cookie, FORMER_SEQUENCE, 600, is_reset=True))
+        retried = self.site.handle(Tick(), 60)
+        self.assertEqual(len(retried), 1, "the unanswered open goes to another target")
+
+    def test_target_that_answers_others_is_not_given_up(self) -> None:
+        """Guards against work that runs twice because its target was only slow to report.
+
+        Pattern: the entry of a living target expires, and one of its requests takes long.
+        """
+        placed = self.site.open(1)
+        self.site.answer(1, placed.cookie)
+        self.site.handle(TargetRemoved(placed.target))
+        self.site.handle(flow_packet(2, placed.cookie, 1, 500, 100), 2_500)
+        self.site.handle(flow_packet(1, placed.cookie, 1, 500, 100))
+        self.site.handle(flow_packet(2, placed.cookie, 101, 900), 50)
+        (repeated,) = self.site.handle(flow_packet(1, placed.cookie, 1, 500, 100), 200)
+        self.assertIsInstance(repeated, ForwardPacket)
+
     def test_sequence_numbers_wrap_around(self) -> None:
         """Guards against taking a new request for a retransmission when sequence numbers wrap."""
         placed = self.site.open(1)
