Report the loss of a zone as such

Cause: since not all targets of a lost zone are checked any more, the lines about targets do not show a partition, and operators had to guess it.

--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -167,6 +167,14 @@
     route_count: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneReachabilityChanged:
+    """Report that a zone is lost for new flows, or that it is reachable again."""
+
+    zone: ZoneName
+    is_reachable: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessPaused:
     """Report that the process was stalled; opens pending at that time are not retried."""
@@ -186,6 +194,7 @@
     | TargetSuspected
     | TargetCleared
     | ReachabilityChanged
+    | ZoneReachabilityChanged
     | TargetChanged
     | RoutesApplied
     | ProcessPaused
--- a/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
@@ -5,7 +5,7 @@
 from ..identifiers import TargetName, ZoneName
 from .effects import CheckTarget, DirectEffect, Notify
 from .events import CheckOutcome
-from .notices import ReachabilityChanged
+from .notices import ReachabilityChanged, ZoneReachabilityChanged
 from .reachability import ReachabilityEvent
 from .targets import KnownTarget, TargetDirectory
 from .zone_checks import ZoneChecks, witness
@@ -25,6 +25,7 @@
         self._targets = targets
         self._unreachable: dict[TargetName, KnownTarget] = {}
         self._zone_checks = ZoneChecks()
+        self._reported_zones: frozenset[ZoneName] = frozenset()
 
     def start_check(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
         """Check a target that did not answer, unless a check is running or has just ended."""
@@ -107,7 +108,13 @@
             effects += _check(known)
             if self._zone_checks.is_lost(now_ms, zone):
                 effects += self._check_witness(now_ms, known)
-        return effects
+        return effects + self._report_zones(now_ms)
+
+    def _report_zones(self, now_ms: int) -> list[DirectEffect]:
+        lost = self.lost_zones(now_ms)
+        changed = sorted(lost ^ self._reported_zones)
+        self._reported_zones = lost
+        return [Notify(ZoneReachabilityChanged(zone, zone not in lost)) for zone in changed]
 
     def _check_witness(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
         """Check another target of a lost zone: the unreachable ones may just be dead."""
--- a/packages/core/tests/direct/test_zone_checks.py
+++ b/packages/core/tests/direct/test_zone_checks.py
@@ -12,6 +12,7 @@
     Tick,
 )
 from fuchsiaspread_core.direct.flows import Flow, FlowPhase
+from fuchsiaspread_core.direct.notices import ZoneReachabilityChanged
 from fuchsiaspread_core.direct.targets import KnownTarget
 from fuchsiaspread_core.direct.zone_checks import (
     MAX_CHECKS_AFTER_ZONE_LOSS,
@@ -114,6 +115,18 @@
         self._lose_zone()
         self.assertFalse(self._opened_targets() & self.centre)
 
+    def test_loss_and_return_of_a_zone_are_reported_once(self) -> None:
+        """Guards against a partition that operators have to guess from lines about targets."""
+        self._lose_zone()
+        zone = ZoneName("centre")
+        lost, back = ZoneReachabilityChanged(zone, False), ZoneReachabilityChanged(zone, True)
+        self.assertEqual(self.site.notices(Tick(), 200).count(lost), 1)
+        self.assertNotIn(lost, self.site.notices(Tick(), 200))
+        self._end_checks(CheckOutcome.CONNECTED)
+        name = next(one for one in self.centre if self._known(one).reachability.is_unreachable)
+        self.site.handle(TargetChecked(name, CheckOutcome.CONNECTED))
+        self.assertEqual(self.site.notices(Tick(), 200).count(back), 1)
+
     def test_opens_use_a_lost_zone_when_nothing_else_is_left(self) -> None:
         """Guards against refused callers where only doubtful targets are left."""
         self._lose_zone()
--- a/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
@@ -17,6 +17,7 @@
     RequestRepeated,
     RequestUnanswered,
     TargetSuspected,
+    ZoneReachabilityChanged,
 )
 from fuchsiaspread_core.identifiers import ServiceName
 
@@ -47,6 +48,7 @@
     packets_dropped: Counter[str] = field(default_factory=Counter)
     targets_suspected: int = 0
     targets_unreachable: int = 0
+    zones_lost: int = 0
     pauses: int = 0
     # By type of event; each is a defect of this program.
     events_failed: Counter[str] = field(default_factory=Counter)
@@ -82,6 +84,8 @@
                 self.targets_suspected += 1
             case ReachabilityChanged(is_reachable=False):
                 self.targets_unreachable += 1
+            case ZoneReachabilityChanged(is_reachable=False):
+                self.zones_lost += 1
             case ProcessPaused():
                 self.pauses += 1
             case _:
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -51,6 +51,7 @@
         yield _total(
             "targets_unreachable", "Targets found out of reach.", counts.targets_unreachable
         )
+        yield _total("zones_lost", "Zones found out of reach.", counts.zones_lost)
         yield _total("pauses", "Times that the process stood still.", counts.pauses)
         yield _by_reason(
             "events_failed", "Events lost by an unexpected error, by type.", counts.events_failed
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -19,6 +19,7 @@
     TargetChanged,
     TargetCleared,
     TargetSuspected,
+    ZoneReachabilityChanged,
 )
 from fuchsiaspread_core.identifiers import TargetName, describe_flow
 
@@ -40,6 +41,7 @@
     TargetChanged: ("target_changed", Level.INFO),
     RoutesApplied: ("routes_in_force", Level.INFO),
     ReachabilityChanged: ("reach_changed", Level.WARNING),
+    ZoneReachabilityChanged: ("zone_reach_changed", Level.WARNING),
     ProcessPaused: ("pause_seen", Level.WARNING),
 }
 
