--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -16,6 +16,21 @@
 from .direct_counts import BUCKET_BOUNDS_MS, DirectCounts, Histogram
 
 MS_PER_SECOND = 1000
+# Help texts of the counters, by metric; `DirectCounts` names its fields alike.
+COUNTERS_BY_REASON = {
+    "opens_refused": "Opens answered with a reset.",
+    "flows_reset": "Open flows reset to their callers.",
+    "packets_dropped": "Packets dropped.",
+    "requests_unanswered": "Requests without an answer.",
+    "events_failed": "Events lost by an unexpected error, by type.",
+}
+TOTALS = {
+    "requests_repeated": "Packets that callers repeated.",
+    "targets_suspected": "Targets that did not answer an open in time.",
+    "targets_unreachable": "Targets found out of reach.",
+    "zones_lost": "Zones found out of reach.",
+    "pauses": "Times that the process stood still.",
+}
 
 
 def metrics_text(counts: DirectCounts, now_ms: int) -> bytes:
@@ -34,28 +49,10 @@
         """Return each metric with its samples."""
         counts = self._counts
         yield self._opens()
-        yield _by_reason("opens_refused", "Opens answered with a reset.", counts.opens_refused)
-        yield _by_reason("flows_reset", "Open flows reset to their callers.", counts.flows_reset)
-        yield _by_reason("packets_dropped", "Packets dropped.", counts.packets_dropped)
-        yield _by_reason(
-            "requests_unanswered", "Requests without an answer.", counts.requests_unanswered
-        )
-        yield _total(
-            "requests_repeated", "Packets that callers repeated.", counts.requests_repeated
-        )
-        yield _total(
-            "targets_suspected",
-            "Targets that did not answer an open in time.",
-            counts.targets_suspected,
-        )
-        yield _total(
-            "targets_unreachable", "Targets found out of reach.", counts.targets_unreachable
-        )
-        yield _total("zones_lost", "Zones found out of reach.", counts.zones_lost)
-        yield _total("pauses", "Times that the process stood still.", counts.pauses)
-        yield _by_reason(
-            "events_failed", "Events lost by an unexpected error, by type.", counts.events_failed
-        )
+        for name, text in COUNTERS_BY_REASON.items():
+            yield _by_reason(name, text, getattr(counts, name))
+        for name, text in TOTALS.items():
+            yield _total(name, text, getattr(counts, name))
         yield _gauge("flows_recorded", "Flow records held.", counts.flow_count)
         yield _gauge("ready", "1 while this VM takes packets.", int(counts.is_ready))
         if counts.store_answered_ms is not None:
