--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -83,8 +83,8 @@
     def owns(self, sequence: int) -> bool:
         """Return whether a packet is of this flow, and not of a former one with the same key.
 
-        The sequence numbers of a flow start at a random one. Once the flow is open its own packets
-        have confirmed its record, and only an opening one has to be told apart.
+        The sequence numbers of each flow start at a random one. The record of an open flow comes
+        from packets of the flow itself, so that only an opening flow has to be told apart.
         """
         if self.phase is FlowPhase.OPEN:
             return True
--- a/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
@@ -8,7 +8,7 @@
 from .notices import ReachabilityChanged, ZoneReachabilityChanged
 from .reachability import ReachabilityEvent
 from .targets import KnownTarget, TargetDirectory
-from .zone_checks import ZoneChecks, witness
+from .zone_checks import ZoneChecks, most_recent_responder
 
 EVENT_BY_OUTCOME = {
     CheckOutcome.CONNECTED: ReachabilityEvent.CONNECTED,
@@ -107,7 +107,7 @@
             known.reachability.apply(now_ms, ReachabilityEvent.DUE)
             effects += _check(known)
             if self._zone_checks.is_lost(now_ms, zone):
-                effects += self._check_witness(now_ms, known)
+                effects += self._check_responder(now_ms, known)
         return effects + self._report_zones(now_ms)
 
     def _report_zones(self, now_ms: int) -> list[DirectEffect]:
@@ -116,9 +116,9 @@
         self._reported_zones = lost
         return [Notify(ZoneReachabilityChanged(zone, zone not in lost)) for zone in changed]
 
-    def _check_witness(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
+    def _check_responder(self, now_ms: int, known: KnownTarget) -> list[DirectEffect]:
         """Check another target of a lost zone: the unreachable ones may just be dead."""
-        other = witness(now_ms, self._others_in_zone(known))
+        other = most_recent_responder(now_ms, self._others_in_zone(known))
         return [] if other is None else self.start_check(now_ms, other)
 
     def _others_in_zone(self, known: KnownTarget) -> list[KnownTarget]:
--- a/packages/core/src/fuchsiaspread_core/direct/stop_drain.py
+++ b/packages/core/src/fuchsiaspread_core/direct/stop_drain.py
@@ -2,7 +2,7 @@
 
 # The fabric probes the readiness every half second and removes this VM after two failed probes.
 MIN_DRAIN_MS = 1_600
-# Callers wait at most this long between two transmissions of a packet that is not answered.
+# Longer than the 400 ms between the second and the third transmission of an open.
 QUIET_MS = 600
 # Time that the tasks of the process need to end.
 END_MARGIN_MS = 2_500
--- a/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
@@ -150,10 +150,11 @@
         return zone
 
 
-def witness(now_ms: int, targets: Collection[KnownTarget]) -> KnownTarget | None:
-    """Return the target whose check best shows whether their zone is reachable, or None.
+def most_recent_responder(now_ms: int, targets: Collection[KnownTarget]) -> KnownTarget | None:
+    """Return the target that answered last of those that can be checked, or None.
 
-    It is the one that answered last, since it is the least likely to be dead by itself.
+    It is the least likely to be dead by itself, so its check shows best whether the zone is
+    reachable.
     """
     usable = [one for one in targets if one.reachability.can_be_doubted(now_ms)]
     return max(usable, key=lambda one: one.health.answered_ms, default=None)
@@ -167,7 +168,7 @@
 
 def _sample(now_ms: int, others: Collection[KnownTarget]) -> list[KnownTarget]:
     """Return targets to check: one that is likely to live, and those whose callers wait."""
-    first = witness(now_ms, others)
+    first = most_recent_responder(now_ms, others)
     if first is None:
         return []
     usable = [one for one in others if one is not first and one.reachability.can_be_doubted(now_ms)]
