Reset a flow only on a route that is known to be dropped

Callers saw: open flows on new routes were reset when a rolling restart moved them to an entry VM that had not read the routes yet; answers of requests that had run and may not be repeated were lost. Cause: FlowHandler took 'no route known here' for 'route removed'. Change: an address counts as dropped only if a configuration in force had it and a later one has not, remembered for the lifetime of a flow. Other packets go to the target of their cookie; packet_unrouted counts them. It works because the cookie alone names the target on every entry VM.

--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -2,6 +2,7 @@
 
 from typing import assert_never
 
+from .dropped_routes import DroppedRoutes
 from .effects import DirectEffect, EndProcess, Notify
 from .events import (
     DirectEvent,
@@ -35,7 +36,7 @@
 
     def __init__(self, seed: int, flow_lifetime_ms: int, stop_grace_ms: int) -> None:
         self.targets = TargetDirectory(flow_lifetime_ms)
-        self._state = DirectState(self.targets)
+        self._state = DirectState(self.targets, DroppedRoutes(flow_lifetime_ms))
         self._opens = OpenHandler(self._state, seed)
         self._flows = FlowHandler(self._state)
         self._startup_buffer = StartupBuffer()
@@ -73,7 +74,7 @@
             case Tick():
                 effects += self._tick(now_ms)
             case RoutesPublished(routes=routes):
-                effects += self._apply_routes(routes)
+                effects += self._apply_routes(now_ms, routes)
             case TargetsListed(targets=targets):
                 self._has_targets = True
                 effects += apply_list(now_ms, self.targets, targets)
@@ -116,10 +117,11 @@
             case OpenPacket():
                 return self._opens.handle(now_ms, packet)
 
-    def _apply_routes(self, routes: RouteSet) -> list[DirectEffect]:
+    def _apply_routes(self, now_ms: int, routes: RouteSet) -> list[DirectEffect]:
         # A delayed response from the store may hold an older version.
         if routes.version <= self._state.version:
             return []
+        self._state.dropped_routes.record_change(now_ms, self._state.routes, routes)
         self._state.routes = routes
         return [Notify(RoutesApplied(routes.version, len(routes.routes)))]
 
@@ -133,4 +135,5 @@
         effects += self._opens.retry_due(now_ms)
         effects += self._flows.expire(now_ms)
         self.targets.remove_expired(now_ms)
+        self._state.dropped_routes.remove_expired(now_ms)
         return effects + self._state.reachability_checks.recheck_due(now_ms)
--- a/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
@@ -9,6 +9,7 @@
     FlowReset,
     OpenAnswered,
     PacketDropped,
+    PacketUnrouted,
     RequestAnswered,
     RequestEnd,
     RequestRepeated,
@@ -38,11 +39,12 @@
         target = state.targets.by_cookie(event.cookie)
         if target is None:
             return [Notify(PacketDropped(event.flow, DropReason.UNKNOWN_COOKIE))]
-        route = state.routes.find(address_of(event.flow))
+        address = address_of(event.flow)
+        route = state.routes.find(address)
         if route is None:
-            state.flows.remove(event.flow)
-            reset = FlowReset(event.flow, target.name, ResetReason.ROUTE_REMOVED, b"")
-            return [ResetCaller(event.flow, event.ack_number), Notify(reset)]
+            if address in state.dropped_routes:
+                return self._reset_dropped(event, target)
+            return self._forward_unrouted(event, target)
         flow = state.flows.get(event.flow)
         if flow is None and event.data_bytes and not event.is_reset:
             flow = state.flows.add(event.flow, route, now_ms, FlowPhase.OPEN)
@@ -59,6 +61,21 @@
         effects.append(ForwardPacket(target.name, endpoint, event.packet))
         return effects
 
+    def _reset_dropped(self, event: FlowPacket, target: KnownTarget) -> list[DirectEffect]:
+        self._state.flows.remove(event.flow)
+        reset = FlowReset(event.flow, target.name, ResetReason.ROUTE_REMOVED, b"")
+        return [ResetCaller(event.flow, event.ack_number), Notify(reset)]
+
+    def _forward_unrouted(self, event: FlowPacket, target: KnownTarget) -> list[DirectEffect]:
+        """Forward a packet whose route is not known here: its cookie names the target.
+
+        The VM that placed the flow knew a route, which this one has not read yet or which was
+        dropped before this one started. A record is kept once the route is known.
+        """
+        forwarded = PacketUnrouted(event.flow, target.name, self._state.version)
+        forward = ForwardPacket(target.name, target.published.endpoint, event.packet)
+        return [forward, Notify(forwarded)]
+
     def handle_check(
         self, now_ms: int, name: TargetName, outcome: CheckOutcome
     ) -> list[DirectEffect]:
--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -124,6 +124,15 @@
     reason: DropReason
 
 
+@dataclass(frozen=True, slots=True)
+class PacketUnrouted:
+    """Report a packet forwarded by its cookie, since no route of its address is known here."""
+
+    flow: FlowKey
+    target: TargetName
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetSuspected:
     """Report that a target stopped answering and is avoided for new flows."""
@@ -191,6 +200,7 @@
     | RequestRepeated
     | RequestUnanswered
     | PacketDropped
+    | PacketUnrouted
     | TargetSuspected
     | TargetCleared
     | ReachabilityChanged
--- a/packages/core/src/fuchsiaspread_core/direct/state.py
+++ b/packages/core/src/fuchsiaspread_core/direct/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .dropped_routes import DroppedRoutes
 from .flows import FlowRecords
 from .reachability_checks import ReachabilityChecks
 from .routes import RouteSet
@@ -13,6 +14,7 @@
     """The routes, targets and flows of one entry VM."""
 
     targets: TargetDirectory
+    dropped_routes: DroppedRoutes
     flows: FlowRecords = field(default_factory=FlowRecords)
     routes: RouteSet | None = None
     reachability_checks: ReachabilityChecks = field(init=False)
--- a/packages/core/tests/direct/test_flows.py
+++ b/packages/core/tests/direct/test_flows.py
@@ -4,19 +4,31 @@
 
 from fuchsiaspread_core.direct import (
     CheckOutcome,
+    DirectCore,
     ForwardOpen,
     ForwardPacket,
     RoutesPublished,
     TargetChecked,
     TargetPublished,
     TargetRemoved,
+    TargetsListed,
     Tick,
 )
-from fuchsiaspread_core.direct.notices import RequestUnanswered
+from fuchsiaspread_core.direct.dropped_routes import DroppedRoutes
+from fuchsiaspread_core.direct.notices import PacketUnrouted, RequestUnanswered
 from fuchsiaspread_core.direct.targets import KnownTarget
-from fuchsiaspread_core.identifiers import TargetName
-
-from .site import Site, flow_packet, is_reset_of, routes, target
+from fuchsiaspread_core.identifiers import TargetName, address_key
+
+from .site import (
+    FEED_ADDRESS,
+    FLOW_LIFETIME_MS,
+    STOP_GRACE_MS,
+    Site,
+    flow_packet,
+    is_reset_of,
+    routes,
+    target,
+)
 
 TIMED_OUT = CheckOutcome.TIMED_OUT
 FORMER_SEQUENCE = 3_000_000_000
@@ -49,6 +61,47 @@
         self.site.handle(RoutesPublished(routes(2, without=["feed"])))
         self.assertTrue(is_reset_of(self.site.handle(flow_packet(1, placed.cookie)), 1))
 
+    def test_flow_on_a_route_that_is_not_known_yet_is_forwarded(self) -> None:
+        """Guards against a reset by an entry VM whose configuration is older than the flow.
+
+        Pattern: a rolling restart moves open flows to VMs that have not read the newest routes.
+        """
+        placed = self.site.open(1)
+        behind = Site()
+        behind.core = DirectCore(7, FLOW_LIFETIME_MS, STOP_GRACE_MS)
+        behind.handle(RoutesPublished(routes(without=["feed"])))
+        behind.handle(TargetsListed(behind.targets))
+        request = flow_packet(1, placed.cookie, data_bytes=10)
+        (forward,) = behind.handle(request)
+        assert isinstance(forward, ForwardPacket)
+        self.assertEqual(forward.target, placed.target)
+        (unrouted,) = behind.notices(request)
+        self.assertEqual(unrouted, PacketUnrouted(request.flow, placed.target, 1))
+        behind.handle(RoutesPublished(routes(2)))
+        behind.handle(request)
+        self.assertEqual(behind.core.flow_count, 1)
+
+    def test_route_is_dropped_until_a_version_has_it_again(self) -> None:
+        """Guards against resets of flows that were opened after the route had come back."""
+        placed = self.site.open(1)
+        self.site.answer(1, placed.cookie)
+        self.site.handle(RoutesPublished(routes(2, without=["feed"])))
+        self.site.handle(RoutesPublished(routes(3, without=["card", "feed"])))
+        packet = flow_packet(1, placed.cookie, data_bytes=10)
+        self.assertTrue(is_reset_of(self.site.handle(packet), 1))
+        self.site.handle(RoutesPublished(routes(4)))
+        (forward,) = self.site.handle(packet)
+        self.assertIsInstance(forward, ForwardPacket)
+
+    def test_dropped_routes_are_forgotten_after_the_lifetime_of_a_flow(self) -> None:
+        """Guards against memory that grows with each route that was ever dropped."""
+        dropped = DroppedRoutes(FLOW_LIFETIME_MS)
+        dropped.record_change(0, routes(), routes(2, without=["feed"]))
+        feed = address_key(FEED_ADDRESS)
+        for now_ms, is_kept in ((0, True), (FLOW_LIFETIME_MS, True), (FLOW_LIFETIME_MS + 1, False)):
+            dropped.remove_expired(now_ms)
+            self.assertEqual(feed in dropped, is_kept, now_ms)
+
     def test_packet_with_an_unknown_cookie_is_dropped(self) -> None:
         """Guards against forwarding a packet with a stale cookie to a host of another service."""
         self.assertEqual(self.site.handle(flow_packet(1, 12345, data_bytes=10)), [])
--- a/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/direct_counts.py
@@ -11,6 +11,7 @@
     OpenPlaced,
     OpenRefused,
     PacketDropped,
+    PacketUnrouted,
     ProcessPaused,
     ReachabilityChanged,
     RequestAnswered,
@@ -46,6 +47,7 @@
     opens_refused: Counter[str] = field(default_factory=Counter)
     flows_reset: Counter[str] = field(default_factory=Counter)
     packets_dropped: Counter[str] = field(default_factory=Counter)
+    packets_unrouted: int = 0
     targets_suspected: int = 0
     targets_unreachable: int = 0
     zones_lost: int = 0
@@ -80,6 +82,8 @@
                 self.flows_reset[reason] += 1
             case PacketDropped(reason=reason):
                 self.packets_dropped[reason] += 1
+            case PacketUnrouted():
+                self.packets_unrouted += 1
             case TargetSuspected():
                 self.targets_suspected += 1
             case ReachabilityChanged(is_reachable=False):
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_text.py
@@ -26,6 +26,7 @@
 }
 TOTALS = {
     "requests_repeated": "Packets that callers repeated.",
+    "packets_unrouted": "Packets forwarded by their cookie without a known route.",
     "targets_suspected": "Targets that did not answer an open in time.",
     "targets_unreachable": "Targets found out of reach.",
     "zones_lost": "Zones found out of reach.",
