Let answers, not entries, tell which target is at an address

Callers saw: after another writer had left entries of an unknown service under live hosts' addresses, all their new flows were refused and all open idempotent flows reset, without an end. Cause: an address went to the entry with the latest start, and the former target was taken as gone at once, whatever answered there. An entry that could not be read counted as a removal. Change: entries of services that no route names are kept apart; of two entries with one address the earlier target is the last resort for opens, trusted again with its next answer, and gone only once the later one has answered (packets name the target, so that an answer proves it). An entry that cannot be read withdraws its target without giving up its flows. Tests: two replaced. The reused-address test now lets the new host answer first, then asserts the reset and that no open reaches the former one; the moved-address test likewise. Both were wrong in that an entry alone was proof. The unreadable-entry test now also covers the read. The core task's tests get a route, since the directory holds targets of routed services.

--- a/packages/core/src/fuchsiaspread_core/direct/__init__.py
+++ b/packages/core/src/fuchsiaspread_core/direct/__init__.py
@@ -22,10 +22,11 @@
     TargetPublished,
     TargetRemoved,
     TargetsListed,
+    TargetWithdrawn,
     Tick,
 )
+from .known_target import PublishedTarget, TargetPhase
 from .routes import Destination, Route, RouteKind, RouteSet
-from .targets import PublishedTarget, TargetPhase
 
 __all__ = [
     "CheckOutcome",
@@ -52,6 +53,7 @@
     "TargetPhase",
     "TargetPublished",
     "TargetRemoved",
+    "TargetWithdrawn",
     "TargetsListed",
     "Tick",
 ]
--- a/packages/core/src/fuchsiaspread_core/direct/core.py
+++ b/packages/core/src/fuchsiaspread_core/direct/core.py
@@ -15,6 +15,7 @@
     TargetPublished,
     TargetRemoved,
     TargetsListed,
+    TargetWithdrawn,
     Tick,
 )
 from .flow_handler import FlowHandler
@@ -24,7 +25,13 @@
 from .startup_buffer import CallerPacket, StartupBuffer
 from .state import DirectState
 from .stop_drain import StopDrain
-from .target_updates import apply_list, apply_target, remove_target
+from .target_updates import (
+    apply_list,
+    apply_routed,
+    apply_target,
+    remove_target,
+    withdraw_target,
+)
 from .targets import TargetDirectory
 
 # A longer gap between two events means that the process was stalled.
@@ -75,13 +82,15 @@
                 effects += self._tick(now_ms)
             case RoutesPublished(routes=routes):
                 effects += self._apply_routes(now_ms, routes)
-            case TargetsListed(targets=targets):
+            case TargetsListed():
                 self._has_targets = True
-                effects += apply_list(now_ms, self.targets, targets)
+                effects += apply_list(now_ms, self._state, event)
             case TargetPublished(target=target):
-                effects += apply_target(now_ms, self.targets, target)
+                effects += apply_target(now_ms, self._state, target)
+            case TargetWithdrawn(name=name):
+                effects += withdraw_target(now_ms, self._state, name)
             case TargetRemoved(name=name):
-                effects += remove_target(now_ms, self.targets, name)
+                effects += remove_target(now_ms, self._state, name)
             case TargetChecked(name=name, outcome=outcome):
                 effects += self._flows.handle_check(now_ms, name, outcome)
             case StoreReached():
@@ -123,7 +132,8 @@
             return []
         self._state.dropped_routes.record_change(now_ms, self._state.routes, routes)
         self._state.routes = routes
-        return [Notify(RoutesApplied(routes.version, len(routes.routes)))]
+        applied = Notify(RoutesApplied(routes.version, len(routes.routes)))
+        return [applied, *apply_routed(now_ms, self._state)]
 
     def _tick(self, now_ms: int) -> list[DirectEffect]:
         if self._stop_drain.is_over(now_ms):
--- a/packages/core/src/fuchsiaspread_core/direct/events.py
+++ b/packages/core/src/fuchsiaspread_core/direct/events.py
@@ -7,8 +7,8 @@
 from enum import StrEnum
 
 from ..identifiers import FlowKey, TargetName
+from .known_target import PublishedTarget
 from .routes import RouteSet
-from .targets import PublishedTarget
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,9 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetsListed:
-    """Report all targets that the store holds."""
+    """Report all targets that the store holds, and the names whose entries describe none."""
 
     targets: tuple[PublishedTarget, ...]
+    unusable: tuple[TargetName, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +61,13 @@
     target: PublishedTarget
 
 
+@dataclass(frozen=True, slots=True)
+class TargetWithdrawn:
+    """Report an entry that no longer describes a target, since another writer overwrote it."""
+
+    name: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRemoved:
     """Report a target whose entry the store no longer holds."""
@@ -107,6 +115,7 @@
     | RoutesPublished
     | TargetsListed
     | TargetPublished
+    | TargetWithdrawn
     | TargetRemoved
     | StoreReached
     | TargetChecked
--- a/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flow_handler.py
@@ -4,6 +4,7 @@
 from .effects import DirectEffect, ForwardPacket, Notify, ResetCaller
 from .events import CheckOutcome, FlowPacket
 from .flows import Flow, FlowPhase, is_after, waiting_for
+from .known_target import KnownTarget
 from .notices import (
     DropReason,
     FlowReset,
@@ -19,7 +20,6 @@
 from .passive_health import record_answer
 from .routes import RouteKind
 from .state import DirectState
-from .targets import KnownTarget
 
 # Callers retransmit a packet after 200 ms at the earliest. Old data that arrives sooner than this
 # after newer data was reordered by the network.
@@ -140,6 +140,7 @@
 
     def _record_answer(self, now_ms: int, target: KnownTarget) -> list[DirectEffect]:
         self._state.reachability_checks.record_answer(now_ms, target)
+        self._state.targets.record_answer(target)
         return record_answer(now_ms, target)
 
     def _reset(
--- a/packages/core/src/fuchsiaspread_core/direct/flows.py
+++ b/packages/core/src/fuchsiaspread_core/direct/flows.py
@@ -7,8 +7,8 @@
 from enum import StrEnum
 
 from ..identifiers import FlowKey, TargetName
+from .known_target import KnownTarget
 from .routes import Route
-from .targets import KnownTarget
 
 SEQUENCE_MASK = 2**32 - 1
 SEQUENCE_HALF = 2**31
--- a/packages/core/src/fuchsiaspread_core/direct/notices.py
+++ b/packages/core/src/fuchsiaspread_core/direct/notices.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..identifiers import FlowKey, ServiceName, TargetName, ZoneName
+from ..identifiers import Endpoint, FlowKey, ServiceName, TargetName, ZoneName
 
 
 class OpenRefusal(StrEnum):
@@ -168,6 +168,15 @@
     change: str
 
 
+@dataclass(frozen=True, slots=True)
+class AddressContested:
+    """Report that another entry names the address of a target, and which one."""
+
+    target: TargetName
+    address: Endpoint
+    by: TargetName
+
+
 @dataclass(frozen=True, slots=True)
 class RoutesApplied:
     """Report that the routes of a configuration version are now in use."""
@@ -206,6 +215,7 @@
     | ReachabilityChanged
     | ZoneReachabilityChanged
     | TargetChanged
+    | AddressContested
     | RoutesApplied
     | ProcessPaused
 )
--- a/packages/core/src/fuchsiaspread_core/direct/passive_health.py
+++ b/packages/core/src/fuchsiaspread_core/direct/passive_health.py
@@ -1,10 +1,10 @@
 """Passive health tracking of targets, based on the packets of their callers."""
 
 from .effects import DirectEffect, Notify
+from .known_target import KnownTarget
 from .notices import TargetCleared, TargetSuspected
 from .reachability import ReachabilityEvent
 from .target_health import Evidence
-from .targets import KnownTarget
 
 
 def record_answer(now_ms: int, target: KnownTarget) -> list[DirectEffect]:
--- a/packages/core/src/fuchsiaspread_core/direct/placement.py
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -4,7 +4,8 @@
 
 from ..identifiers import FlowKey, TargetName, ZoneName
 from ..rendezvous import rank
-from .targets import KnownTarget, TargetDirectory
+from .known_target import AddressClaim, KnownTarget
+from .targets import TargetDirectory
 
 # Load of an open flow without a request, as a fraction of a request in progress: long-lived flows
 # send a request every few seconds.
@@ -27,7 +28,9 @@
         avoided_zones: Collection[ZoneName] = (),
         lost_zones: Collection[ZoneName] = (),
     ) -> KnownTarget | None:
-        """Return the target for an open, or None; suspect targets are a last resort.
+        """Return the target for an open, or None.
+
+        Suspect targets, and those whose address another entry names too, are a last resort.
 
         Targets in `lost_zones` count as unreachable; those in `avoided_zones` are the second choice
         among the reachable ones.
@@ -45,7 +48,7 @@
         reachable = [
             known for known in connected if known.published.zone not in lost_zones
         ] or connected
-        preferred = [known for known in reachable if known.health.is_preferred(now_ms)] or reachable
+        preferred = [known for known in reachable if _is_preferred(now_ms, known)] or reachable
         elsewhere = [known for known in preferred if known.published.zone not in avoided_zones]
         loads = [(self.load(now_ms, known), known) for known in elsewhere or preferred]
         least = min(load for load, _ in loads)
@@ -56,3 +59,7 @@
         """Return the load of a target after one more open, in requests per slot."""
         busy = known.busy_requests + 1
         return (busy + OPEN_FLOW_LOAD * known.open_flows) / known.capacity(now_ms)
+
+
+def _is_preferred(now_ms: int, known: KnownTarget) -> bool:
+    return known.claim is AddressClaim.SOLE and known.health.is_preferred(now_ms)
--- a/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/reachability_checks.py
@@ -5,9 +5,10 @@
 from ..identifiers import TargetName, ZoneName
 from .effects import CheckTarget, DirectEffect, Notify
 from .events import CheckOutcome
+from .known_target import KnownTarget
 from .notices import ReachabilityChanged, ZoneReachabilityChanged
 from .reachability import ReachabilityEvent
-from .targets import KnownTarget, TargetDirectory
+from .targets import TargetDirectory
 from .zone_checks import ZoneChecks, most_recent_responder
 
 EVENT_BY_OUTCOME = {
--- a/packages/core/src/fuchsiaspread_core/direct/routes.py
+++ b/packages/core/src/fuchsiaspread_core/direct/routes.py
@@ -50,10 +50,14 @@
     routes: tuple[Route, ...]
     idle_timeout_ms: int
     by_address: dict[AddressKey, Route] = field(init=False, compare=False, repr=False)
+    # The services that a route names.
+    services: frozenset[ServiceName] = field(init=False, compare=False, repr=False)
 
     def __post_init__(self) -> None:
         by_address = {route.address: route for route in self.routes}
         object.__setattr__(self, "by_address", by_address)
+        services = {one.service for route in self.routes for one in route.destinations}
+        object.__setattr__(self, "services", frozenset(services))
 
     def find(self, address: AddressKey) -> Route | None:
         """Return the route of an address, or None."""
--- a/packages/core/src/fuchsiaspread_core/direct/state.py
+++ b/packages/core/src/fuchsiaspread_core/direct/state.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass, field
 
+from ..identifiers import ServiceName
 from .dropped_routes import DroppedRoutes
 from .flows import FlowRecords
 from .reachability_checks import ReachabilityChecks
 from .routes import RouteSet
 from .targets import TargetDirectory
+from .unrouted_targets import UnroutedTargets
 
 
 @dataclass(slots=True)
@@ -16,12 +18,17 @@
     targets: TargetDirectory
     dropped_routes: DroppedRoutes
     flows: FlowRecords = field(default_factory=FlowRecords)
+    unrouted: UnroutedTargets = field(default_factory=UnroutedTargets)
     routes: RouteSet | None = None
     reachability_checks: ReachabilityChecks = field(init=False)
 
     def __post_init__(self) -> None:
         self.reachability_checks = ReachabilityChecks(self.targets)
 
+    def is_routed(self, service: ServiceName) -> bool:
+        """Return whether a route of the configuration in use names a service."""
+        return self.routes is not None and service in self.routes.services
+
     @property
     def version(self) -> int:
         """Return the configuration version in use, or 0 before the first."""
--- a/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
+++ b/packages/core/src/fuchsiaspread_core/direct/zone_checks.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 
 from ..identifiers import TargetName, ZoneName
-from .targets import KnownTarget
+from .known_target import KnownTarget
 
 # Targets of a zone that are checked when one of them cannot be reached.
 SAMPLE_TARGETS = 3
--- a/packages/core/tests/direct/test_flows.py
+++ b/packages/core/tests/direct/test_flows.py
@@ -15,8 +15,8 @@
     Tick,
 )
 from fuchsiaspread_core.direct.dropped_routes import DroppedRoutes
+from fuchsiaspread_core.direct.known_target import KnownTarget
 from fuchsiaspread_core.direct.notices import PacketUnrouted, RequestUnanswered
-from fuchsiaspread_core.direct.targets import KnownTarget
 from fuchsiaspread_core.identifiers import TargetName, address_key
 
 from .site import (
--- a/packages/core/tests/direct/test_zone_checks.py
+++ b/packages/core/tests/direct/test_zone_checks.py
@@ -12,8 +12,8 @@
     Tick,
 )
 from fuchsiaspread_core.direct.flows import Flow, FlowPhase
+from fuchsiaspread_core.direct.known_target import KnownTarget
 from fuchsiaspread_core.direct.notices import ZoneReachabilityChanged
-from fuchsiaspread_core.direct.targets import KnownTarget
 from fuchsiaspread_core.direct.zone_checks import (
     MAX_CHECKS_AFTER_ZONE_LOSS,
     SAMPLE_TARGETS,
--- a/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/notice_log.py
@@ -4,6 +4,7 @@
 from dataclasses import fields
 
 from fuchsiaspread_core.direct.notices import (
+    AddressContested,
     DirectNotice,
     FlowReset,
     OpenAnswered,
@@ -41,6 +42,7 @@
     TargetSuspected: ("target_suspected", Level.WARNING),
     TargetCleared: ("target_cleared", Level.INFO),
     TargetChanged: ("target_changed", Level.INFO),
+    AddressContested: ("address_contested", Level.WARNING),
     RoutesApplied: ("routes_in_force", Level.INFO),
     ReachabilityChanged: ("reach_changed", Level.WARNING),
     ZoneReachabilityChanged: ("zone_reach_changed", Level.WARNING),
--- a/packages/entry/tests/direct/test_core_task.py
+++ b/packages/entry/tests/direct/test_core_task.py
@@ -6,16 +6,21 @@
 from unittest.mock import patch
 
 from fuchsiaspread_core.direct import (
+    Destination,
     DirectCore,
     DirectEvent,
     PublishedTarget,
+    Route,
+    RouteKind,
+    RouteSet,
+    RoutesPublished,
     StopRequested,
     TargetPhase,
     TargetPublished,
     TargetsListed,
     Tick,
 )
-from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName
+from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName, address_key
 from fuchsiaspread_entry.direct.core_task import CoreTask
 from fuchsiaspread_entry.direct.messages import (
     MAILBOX_LIMIT,
@@ -39,6 +44,16 @@
 )
 
 
+ROUTE = Route(
+    "feed",
+    address_key(Endpoint("198.18.0.1", 443)),
+    RouteKind.IDEMPOTENT,
+    (Destination(TARGET.service, 1),),
+    timeout_ms=2_500,
+    latency_objective_ms=250,
+)
+
+
 class CoreTaskTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.mailboxes = DirectMailboxes()
@@ -46,6 +61,8 @@
         self.stopped = asyncio.Event()
         log = Log(Level.INFO, lambda: 1_000, lambda **fields: self.lines.append(fields))
         self.core = DirectCore(1, 60_000, stop_grace_ms=0)
+        # The directory holds targets of routed services only.
+        self.core.handle(1_000, RoutesPublished(RouteSet(1, (ROUTE,), idle_timeout_ms=15_000)))
         notices = NoticeLog(log, lambda packet: None)
         self.task = CoreTask(
             self.core, self.mailboxes, notices, lambda: 1_000, lambda: self.stopped.set()
