Leave a cookie with the first target that has it

Callers saw: all open flows of a live host were reset when a new host started whose id has the same 32-bit cookie. Cause: the smaller of two names with one cookie got it, also from a holder with open flows. Change: the first holder keeps a number until its flows have ended; what is read together is applied in the order of the targets' starts, so that entry VMs agree as before. Packet ids, which two spellings of an id share, are held in the same way: the second name gets no flows.

--- a/packages/core/src/fuchsiaspread_core/direct/known_target.py
+++ b/packages/core/src/fuchsiaspread_core/direct/known_target.py
@@ -51,7 +51,7 @@
     """A target as published in the store.
 
     `started_ms` is the start time by the target's own wall clock; it differs after a restart under
-    the same name.
+    the same name. `packet_id` is the number by which packets name the target; 0 names none.
     """
 
     name: TargetName
@@ -62,6 +62,7 @@
     phase: TargetPhase
     cold_ms: int
     started_ms: int
+    packet_id: int = 0
 
 
 def cookie_of(name: TargetName) -> int:
--- a/packages/core/src/fuchsiaspread_core/direct/placement.py
+++ b/packages/core/src/fuchsiaspread_core/direct/placement.py
@@ -40,7 +40,7 @@
             for known in candidates
             if known.name not in tried
             and known.accepts_new_flows(now_ms)
-            and self._targets.owns_cookie(known)
+            and self._targets.has_own_numbers(known)
         ]
         if not usable:
             return None
--- a/packages/core/src/fuchsiaspread_core/direct/target_updates.py
+++ b/packages/core/src/fuchsiaspread_core/direct/target_updates.py
@@ -70,12 +70,21 @@
 def _apply_all(
     now_ms: int, state: DirectState, targets: Iterable[PublishedTarget]
 ) -> list[DirectEffect]:
+    """Apply entries that were read together, in an order that is the same on all entry VMs.
+
+    Of two targets with one cookie the older one keeps it, as on a VM that saw them one by one.
+    """
     effects: list[DirectEffect] = []
-    for target in targets:
+    for target in sorted(targets, key=_age_order):
         effects += apply_target(now_ms, state, target)
     return effects
 
 
+def _age_order(target: PublishedTarget) -> tuple[bool, int, TargetName]:
+    # A start of 0 is unknown and proves no age.
+    return target.started_ms <= 0, target.started_ms, target.name
+
+
 def _changed(known: KnownTarget) -> DirectEffect:
     published = known.published
     return Notify(TargetChanged(published.name, published.service, str(published.phase)))
--- a/packages/core/src/fuchsiaspread_core/direct/targets.py
+++ b/packages/core/src/fuchsiaspread_core/direct/targets.py
@@ -5,6 +5,7 @@
 
 from ..identifiers import ServiceName, TargetName
 from .address_claims import AddressClaims
+from .first_holders import FirstHolders
 from .known_target import (
     REMOVAL_GRACE_MS,
     KnownTarget,
@@ -21,7 +22,8 @@
         self._retention_ms = retention_ms
         self._by_name: dict[TargetName, KnownTarget] = {}
         self._by_service: dict[ServiceName, list[KnownTarget]] = {}
-        self._by_cookie: dict[int, KnownTarget] = {}
+        self._cookies = FirstHolders()
+        self._packet_ids = FirstHolders()
         self._claims = AddressClaims()
         self._removed: dict[TargetName, KnownTarget] = {}
 
@@ -34,7 +36,7 @@
 
     def by_cookie(self, cookie: int) -> KnownTarget | None:
         """Return the target with a cookie, or None."""
-        return self._by_cookie.get(cookie)
+        return self._cookies.get(cookie)
 
     def of_service(self, service: ServiceName) -> list[KnownTarget]:
         """Return the targets of a service, removed ones included."""
@@ -107,26 +109,31 @@
                 del self._removed[known.name]
                 self._drop(known)
 
-    def owns_cookie(self, known: KnownTarget) -> bool:
-        """Return whether a target's cookie resolves to it; otherwise it gets no new flows."""
-        return self._by_cookie.get(known.cookie) is known
+    def has_own_numbers(self, known: KnownTarget) -> bool:
+        """Return whether a target's cookie and packet id are its own.
+
+        Otherwise it gets no new flows: their packets would go to another target.
+        """
+        packet_id = known.published.packet_id
+        is_named = not packet_id or self._packet_ids.get(packet_id) is known
+        return is_named and self._cookies.get(known.cookie) is known
 
     def _add(self, now_ms: int, published: PublishedTarget) -> None:
         known = KnownTarget(published, cookie_of(published.name), now_ms)
         self._by_name[published.name] = known
         self._by_service.setdefault(published.service, []).append(known)
-        other = self._by_cookie.get(known.cookie)
-        # All entry VMs must resolve a colliding cookie alike, whatever the order of the updates.
-        if other is None or published.name < other.name:
-            self._by_cookie[known.cookie] = known
+        self._cookies.add(known.cookie, known)
+        if published.packet_id:
+            self._packet_ids.add(published.packet_id, known)
         self._claims.add(known)
 
     def _drop(self, known: KnownTarget) -> None:
         published = known.published
         del self._by_name[known.name]
         self._by_service[published.service].remove(known)
-        if self._by_cookie.get(known.cookie) is known:
-            del self._by_cookie[known.cookie]
+        self._cookies.discard(known.cookie, known)
+        if published.packet_id:
+            self._packet_ids.discard(published.packet_id, known)
         self._claims.discard(known, published.endpoint)
 
 
--- a/packages/core/tests/direct/test_targets.py
+++ b/packages/core/tests/direct/test_targets.py
@@ -13,7 +13,8 @@
     TargetsListed,
     TargetWithdrawn,
 )
-from fuchsiaspread_core.direct.known_target import AddressClaim
+from fuchsiaspread_core.direct.first_holders import FirstHolders
+from fuchsiaspread_core.direct.known_target import AddressClaim, KnownTarget, cookie_of
 from fuchsiaspread_core.direct.targets import TargetDirectory
 from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName
 
@@ -100,6 +101,71 @@
         self.assertFalse(self._accepts(self.first.name))
 
 
+class NumbersTest(unittest.TestCase):
+    """Cookies and packet ids that two targets share."""
+
+    def setUp(self) -> None:
+        # Both names have the same cookie; the second one is the smaller name.
+        self.first = target(1, name=TargetName("i-8a9cbbc1bd"), started_ms=1_000)
+        self.second = target(2, name=TargetName("i-49f63fb565"), started_ms=2_000)
+        self.cookie = cookie_of(self.first.name)
+        self.assertEqual(cookie_of(self.second.name), self.cookie)
+
+    def _holder(self, directory: TargetDirectory) -> TargetName | None:
+        known = directory.by_cookie(self.cookie)
+        return None if known is None else known.name
+
+    def test_new_target_does_not_take_over_the_cookie_of_a_live_one(self) -> None:
+        """Guards against all open flows of a target that go to a new one, which resets them."""
+        directory = TargetDirectory(FLOW_LIFETIME_MS)
+        directory.put(NOW_MS, self.first)
+        directory.put(NOW_MS, self.second)
+        self.assertEqual(self._holder(directory), self.first.name)
+        second = directory.by_name(self.second.name)
+        assert second is not None
+        self.assertFalse(directory.has_own_numbers(second))
+        directory.remove(NOW_MS, self.first.name)
+        self.assertEqual(self._holder(directory), self.first.name)
+        directory.remove_expired(NOW_MS + FLOW_LIFETIME_MS + 1)
+        self.assertEqual(self._holder(directory), self.second.name)
+        self.assertTrue(directory.has_own_numbers(second))
+
+    def test_entry_vm_that_reads_both_gives_the_cookie_to_the_older_target(self) -> None:
+        """Guards against entry VMs that resolve one cookie differently after a restart."""
+        for order in ((self.first, self.second), (self.second, self.first)):
+            site = Site(order)
+            self.assertEqual(self._holder(site.core.targets), self.first.name)
+
+    def test_second_name_for_a_packet_id_gets_no_flows(self) -> None:
+        """Guards against an open of one service that a host of another one takes.
+
+        Pattern: another writer names a live host's address, and its id in another spelling, under
+        a second service. The host takes each packet with its number.
+        """
+        site = Site((target(9, INSPECTION, packet_id=9), target(1, packet_id=1)))
+        copy = TargetName("x-0000000001")
+        site.handle(
+            TargetPublished(
+                target(1, INSPECTION, name=copy, packet_id=1, started_ms=9_000, slots=99)
+            )
+        )
+        opened = {site.open(number, SCAN_ADDRESS).target for number in range(30)}
+        self.assertEqual(opened, {target(9).name})
+
+    def test_numbers_pass_on_in_the_order_of_arrival(self) -> None:
+        """Guards against a number that nobody holds, or that a target which has left keeps."""
+        holders = FirstHolders()
+        first, second, third = (KnownTarget(target(number), 1, 0) for number in (1, 2, 3))
+        for known in (first, second, third):
+            holders.add(5, known)
+        holders.discard(5, second)
+        self.assertIs(holders.get(5), first)
+        holders.discard(5, first)
+        self.assertIs(holders.get(5), third)
+        holders.discard(5, third)
+        self.assertIsNone(holders.get(5))
+
+
 class UnusableEntriesTest(unittest.TestCase):
     """Entries that describe no target to use."""
 
@@ -118,6 +184,7 @@
                 ServiceName("inventory"),
                 endpoint=one.endpoint,
                 started_ms=9_000,
+                packet_id=number,
             )
             self.site.handle(TargetPublished(foreign))
         claims = {known.name: known.claim for known in self.site.core.targets}
@@ -127,7 +194,7 @@
         """Guards against a host that registers before the configuration that sends work to it."""
         site = Site((target(1), target(9, INSPECTION)))
         site.handle(RoutesPublished(routes(2, without=["scan"])))
-        early = target(8, INSPECTION)
+        early = target(8, INSPECTION, packet_id=8)
         # The service of the other host was known before; its targets stay known.
         site.handle(TargetPublished(early))
         self.assertIsNone(site.core.targets.by_name(early.name))
