Bound the silence of an answer of the store, not its length

Cause: 1.5 s for a whole read, of which the link needed 1.7 s; each read was given up and begun anew. Change: 1.5 s for the first byte and for each silence, 25 s in all. Why it works: a slow link passes bytes all the time, a lost answer none.

--- a/packages/entry/src/fuchsiaspread_entry/direct/http_client.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/http_client.py
@@ -35,10 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """Timeouts and size limit of one call."""
+    """Timeouts and size limit of one call.
+
+    A large response on a slow link takes long, but its bytes keep coming: `silence_timeout_s` is
+    the time without any after the first ones. `total_timeout_s` ends a response that trickles.
+    """
 
     connect_timeout_s: float
-    timeout_s: float
+    first_byte_timeout_s: float
+    silence_timeout_s: float
+    total_timeout_s: float
     body_bytes: int
 
 
@@ -48,7 +54,7 @@
 async def http_get(server: Endpoint, path: str, limits: HttpLimits) -> HttpOutcome:
     """Return the response to a GET request; redirects are not followed."""
     try:
-        async with asyncio.timeout(limits.timeout_s):
+        async with asyncio.timeout(limits.total_timeout_s):
             return await _call(server, path, limits)
     except TimeoutError:
         return HttpFailure("timed out waiting for the response")
@@ -66,21 +72,24 @@
     try:
         header = f"GET {path} HTTP/1.1\r\nHost: {server.host}:{server.port}\r\nConnection: close"
         writer.write(f"{header}\r\n\r\n".encode("ascii"))
-        return await _read_response(reader, limits.body_bytes)
+        return await _read_response(reader, limits)
     finally:
         # Nothing is left to send, and a graceful close would wait for a peer that may be gone.
         writer.transport.abort()
 
 
-async def _read_response(reader: asyncio.StreamReader, limit_bytes: int) -> HttpOutcome:
+async def _read_response(reader: asyncio.StreamReader, limits: HttpLimits) -> HttpOutcome:
     received = _ResponseCollector()
     parser = HttpResponseParser(received)
+    timeout_s = limits.first_byte_timeout_s
     while not received.is_complete:
-        chunk = await reader.read(CHUNK_BYTES)
+        async with asyncio.timeout(timeout_s):
+            chunk = await reader.read(CHUNK_BYTES)
         if not chunk:
             return HttpFailure("connection closed before the response was complete")
+        timeout_s = limits.silence_timeout_s
         parser.feed_data(chunk)
-        if len(received.body) > limit_bytes:
+        if len(received.body) > limits.body_bytes:
             return BodyTooLarge()
     return HttpResponse(parser.get_status_code(), bytes(received.body))
 
