Answer HEAD requests for the metrics without a body

Seen by the review: HEAD /metrics ended the daemon with status 1. Cause: the body was written although the HTTP library expects none for HEAD, and an error in the metrics task ends the process. Change: no body for HEAD; an unexpected error in one answer is logged (metrics_failed) and costs that answer. Evidence: test_requests_of_any_method_leave_the_daemon_running and test_unexpected_error_costs_one_answer_of_the_metrics; on the old code the first got no bytes, the second a refused connection, since the daemon had ended. platform_adapter.test_daemon: 7 passed.

--- a/packages/entry/src/fuchsiaspread_entry/direct/http_server.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/http_server.py
@@ -37,7 +37,7 @@
 def respond(
     request: "HTTPServerRequest", status: HTTPStatus, body: bytes = b"", content_type: str = ""
 ) -> None:
-    """Send the complete response to a request."""
+    """Send the complete response to a request; one to HEAD has the headers of GET and no body."""
     from tornado.httputil import HTTPHeaders, ResponseStartLine
 
     connection = request.connection
@@ -46,5 +46,6 @@
     if content_type:
         headers["Content-Type"] = content_type
     start_line = ResponseStartLine("HTTP/1.1", status.value, status.phrase)
-    connection.write_headers(start_line, headers, body or None)
+    sent = None if request.method == "HEAD" else body or None
+    connection.write_headers(start_line, headers, sent)
     connection.finish()
--- a/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/metrics_task.py
@@ -36,7 +36,13 @@
         server = await start_server(self._socket, self._requests.put_nowait)
         try:
             while True:
-                await self._answer(await self._requests.get())
+                request = await self._requests.get()
+                try:
+                    await self._answer(request)
+                except Exception as error:
+                    # A defect in one answer must not end the process.
+                    self._log.write(Level.ERROR, "metrics_failed", cause=repr(error))
+                    _close(request)
         finally:
             server.stop()
             await server.close_all_connections()
@@ -59,3 +65,10 @@
         from .metrics_text import metrics_text
 
         respond(request, HTTPStatus.OK, metrics_text(counts, self._now_ms()), CONTENT_TYPE)
+
+
+def _close(request: "HTTPServerRequest") -> None:
+    """Close the connection of a request that is not answered."""
+    connection = request.connection
+    assert connection is not None
+    connection.finish()
