Handle changes of the store between batches of packets

Change: control messages are handled after each batch of 16 events; the limit of a mailbox is on the packets in it. Evidence: test_change_overtakes_the_packets_that_were_taken_before_it; on the old code the change came after 320 events, now after 16. test_batches_of_packets_are_bounded_by_their_packets is new, too. Not brought about with real processes. unittest direct.test_core_task entry.test_full_mailboxes: 9 passed.

--- a/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/core_task.py
@@ -1,7 +1,7 @@
 """Task that owns the direct core and its timer."""
 
 import asyncio
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from copy import deepcopy
 
 from fuchsiaspread_core.direct import (
@@ -18,6 +18,7 @@
 from .direct_counts import DirectCounts
 from .messages import (
     CheckAsked,
+    CoreMessage,
     CountsAsked,
     DirectMailboxes,
     EventsReceived,
@@ -62,21 +63,35 @@
             while True:
                 self._schedule_tick()
                 for message in await self._mailbox.take():
-                    match message:
-                        case EventsReceived(events=events):
-                            await self._handle_all(events)
-                        case CountsAsked(reply=reply):
-                            if not reply.done():
-                                reply.set_result(self._copy_counts())
+                    await self._receive(message)
         finally:
             if self._timer is not None:
                 self._timer.cancel()
 
-    async def _handle_all(self, events: Sequence[DirectEvent]) -> None:
-        for batch in _batches(events):
-            self._handle(batch)
-            # Let the other tasks send these packets and read new ones before the next batch.
-            await asyncio.sleep(0)
+    async def _receive(self, message: CoreMessage) -> None:
+        """Handle a message; control messages that come meanwhile are handled between its batches.
+
+        A new configuration, or a drain, must not wait for all the packets that were taken before.
+        """
+        for batch in self._batches_of(message):
+            await self._handle_batch(batch)
+            for control in self._mailbox.take_control():
+                for control_batch in self._batches_of(control):
+                    await self._handle_batch(control_batch)
+
+    def _batches_of(self, message: CoreMessage) -> Iterable[Sequence[DirectEvent]]:
+        match message:
+            case EventsReceived(events=events):
+                return _batches(events)
+            case CountsAsked(reply=reply):
+                if not reply.done():
+                    reply.set_result(self._copy_counts())
+                return ()
+
+    async def _handle_batch(self, batch: Sequence[DirectEvent]) -> None:
+        self._handle(batch)
+        # Let the other tasks send these packets and read new ones before the next batch.
+        await asyncio.sleep(0)
 
     def _copy_counts(self) -> DirectCounts:
         self._counts.flow_count = self._core.flow_count
--- a/packages/entry/src/fuchsiaspread_entry/direct/messages.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/messages.py
@@ -9,7 +9,8 @@
 from ..internal.mailbox import Mailbox
 from .direct_counts import DirectCounts
 
-# About one second of packets at full rate; beyond that they would reach their targets too late.
+# In packets: about one second of them at full rate. Beyond that they would reach their targets too
+# late.
 MAILBOX_LIMIT = 10_000
 
 
--- a/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/packet_task.py
@@ -67,5 +67,5 @@
                 self._log.write(Level.WARNING, "packet_malformed", sender=sender[0])
             else:
                 events.append(event)
-        if events and not self._core.put(EventsReceived(events)):
+        if events and not self._core.put(EventsReceived(events), len(events)):
             self._log.write(Level.WARNING, "packets_dropped", count=len(events), cause="overload")
--- a/packages/entry/src/fuchsiaspread_entry/internal/mailbox.py
+++ b/packages/entry/src/fuchsiaspread_entry/internal/mailbox.py
@@ -7,11 +7,15 @@
 
 
 class Mailbox(Generic[Message]):
-    """Queue the messages of one task, which takes all of them at once, control messages first."""
+    """Queue the messages of one task, which takes all of them at once, control messages first.
+
+    The limit is on the sum of the messages' sizes, so that a queue of batches is bounded too.
+    """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._messages: list[Message] = []
+        self._size = 0
         self._control: list[Message] = []
         self._waiter: asyncio.Future[None] | None = None
 
@@ -20,10 +24,11 @@
         """Return the number of queued messages."""
         return len(self._control) + len(self._messages)
 
-    def put(self, message: Message) -> bool:
+    def put(self, message: Message, size: int = 1) -> bool:
         """Add a message; return False when the mailbox is full and the message is dropped."""
-        if len(self._messages) >= self._limit:
+        if self._size >= self._limit:
             return False
+        self._size += size
         self._messages.append(message)
         self._wake()
         return True
@@ -43,7 +48,12 @@
             await self._waiter
             self._waiter = None
         taken = self._control + self._messages
-        self._control, self._messages = [], []
+        self._control, self._messages, self._size = [], [], 0
+        return taken
+
+    def take_control(self) -> list[Message]:
+        """Return the control messages that have come since the last call, without waiting."""
+        taken, self._control = self._control, []
         return taken
 
     def _wake(self) -> None:
--- a/packages/entry/tests/direct/test_core_task.py
+++ b/packages/entry/tests/direct/test_core_task.py
@@ -21,7 +21,7 @@
     Tick,
 )
 from fuchsiaspread_core.identifiers import Endpoint, ServiceName, TargetName, ZoneName, address_key
-from fuchsiaspread_entry.direct.core_task import CoreTask
+from fuchsiaspread_entry.direct.core_task import MAX_EVENTS_PER_BATCH, CoreTask
 from fuchsiaspread_entry.direct.messages import (
     MAILBOX_LIMIT,
     CountsAsked,
@@ -91,6 +91,33 @@
         await self._run_until(self.stopped.is_set)
         self.assertIsNotNone(self.core.targets.by_name(TARGET.name))
 
+    async def test_change_overtakes_the_packets_that_were_taken_before_it(self) -> None:
+        """Guards against a configuration, or a drain, that is late on a VM short of processor time.
+
+        Pattern: a VM has taken a second of packets when the store reports a change.
+        """
+        handled: list[type] = []
+
+        def record(now_ms: int, event: DirectEvent) -> list[object]:
+            handled.append(type(event))
+            if len(handled) == 1:
+                self.mailboxes.core.put_control(EventsReceived([TargetPublished(TARGET)]))
+            return []
+
+        with patch.object(self.core, "handle", record):
+            for _ in range(10):
+                self.mailboxes.core.put(EventsReceived([Tick()] * (2 * MAX_EVENTS_PER_BATCH)))
+            await self._run_until(lambda: TargetPublished in handled)
+        self.assertLessEqual(handled.index(TargetPublished), MAX_EVENTS_PER_BATCH)
+
+    def test_batches_of_packets_are_bounded_by_their_packets(self) -> None:
+        """Guards against a queue that outgrows the memory: each message holds up to 64 packets."""
+        batch = EventsReceived([Tick()] * 64)
+        taken = 0
+        while self.mailboxes.core.put(batch, len(batch.events)):
+            taken += len(batch.events)
+        self.assertLess(taken, MAILBOX_LIMIT + len(batch.events))
+
     async def test_unexpected_error_costs_one_event_and_is_counted(self) -> None:
         """Guards against one event that ends the whole process."""
         handle = self.core.handle
