Read with backoff where the history is lost again and again

Cause, from the source: a watch that fails with lost history right after a read led to the next read at once; a store that forgets its history at once would be read by the whole fleet as fast as it can. Evidence: test_history_that_is_lost_again_and_again_is_read_with_backoff; the old code had no delay there.

--- a/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
+++ b/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
@@ -113,20 +113,23 @@
         self._backoff_ms = INITIAL_BACKOFF_MS
         self._view = View.CURRENT
         self._fullest = _FullestAnswer()
+        # Whether a watch has been answered since the last read.
+        self._is_read_followed = True
 
     def after_read(self, largest_bytes: int) -> NextCall:
         """Return the next call after everything was read, of which one value was the largest.
 
         Changes made during the read wait to be watched.
         """
-        self._backoff_ms = INITIAL_BACKOFF_MS
         self._view = View.CURRENT
         self._fullest.add(0, largest_bytes, largest_bytes)
+        self._is_read_followed = False
         return NextCall(0, may_wait=True)
 
     def after_answer(self, sizes_bytes: Sequence[int], jitter: float) -> NextCall:
         """Return the next call after an answer to a watch, given the sizes of its changes."""
         self._backoff_ms = INITIAL_BACKOFF_MS
+        self._is_read_followed = True
         content = self._fullest.content_of(sizes_bytes)
         self._fullest.add(len(sizes_bytes), sum(sizes_bytes), max(sizes_bytes, default=0))
         self._view, step = TRANSITIONS[self._view, content]
@@ -139,6 +142,16 @@
                 pause_ms = round(self._pause_ms * (1 - PAUSE_JITTER * jitter))
                 return NextCall(pause_ms, may_wait=True)
 
+    def after_lost_history(self, jitter: float) -> NextCall:
+        """Return when to read everything anew.
+
+        A store that forgets its history faster than it can be followed is read with backoff.
+        """
+        if not self._is_read_followed:
+            return self.after_failure(jitter)
+        self._is_read_followed = False
+        return NextCall(0, may_wait=True)
+
     def after_failure(self, jitter: float) -> NextCall:
         """Return the next call after a failed one; the delay doubles with each further failure."""
         delay_ms = round(self._backoff_ms * (1 - BACKOFF_JITTER * jitter))
--- a/packages/core/tests/direct/test_store_pacing.py
+++ b/packages/core/tests/direct/test_store_pacing.py
@@ -207,6 +207,23 @@
         pacing.after_answer((), jitter=0.0)
         self.assertEqual(pacing.after_failure(jitter=0.0).delay_ms, INITIAL_BACKOFF_MS)
 
+    def test_history_that_is_lost_again_and_again_is_read_with_backoff(self) -> None:
+        """Guards against a fleet that reads everything without a pause, as fast as it can.
+
+        Pattern: a store that forgets its history at once, so that each watch after a read fails.
+        """
+        pacing = StorePacing(1_000)
+        pacing.after_read(ENTRY_BYTES)
+        pacing.after_answer((), jitter=0.0)
+        delays = []
+        for _ in range(7):
+            delays.append(pacing.after_lost_history(jitter=0.0).delay_ms)
+            pacing.after_read(ENTRY_BYTES)
+        self.assertEqual((delays[0], delays[1]), (0, INITIAL_BACKOFF_MS))
+        self.assertEqual(delays[-1], MAX_BACKOFF_MS)
+        pacing.after_answer((), jitter=0.0)
+        self.assertEqual(pacing.after_lost_history(jitter=0.0).delay_ms, 0)
+
     def test_failed_call_does_not_end_the_catching_up(self) -> None:
         """Guards against a view that counts as current since a call failed."""
         pacing = StorePacing(1_000)
--- a/packages/entry/src/fuchsiaspread_entry/direct/store_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/store_task.py
@@ -19,7 +19,6 @@
 )
 
 MS_PER_SECOND = 1000
-READ_ALL = NextCall(0, may_wait=True)
 
 
 class StoreTask:
@@ -43,7 +42,7 @@
     async def run(self) -> None:
         """Watch the store until cancelled."""
         revision: int | None = None
-        following = READ_ALL
+        following = NextCall(0, may_wait=True)
         while True:
             outcome = await self._call(revision, following.may_wait)
             match outcome:
@@ -53,12 +52,14 @@
                     revision = outcome.revision
                 case HistoryLost():
                     self._log.write(Level.INFO, "store_history_lost")
-                    following, revision = READ_ALL, None
+                    following = self._pacing.after_lost_history(self._random.random())
+                    revision = None
                 case AnswerTooLarge():
                     # The next answer from this revision would be larger still. A read holds the
                     # newest value of each key only.
                     self._log.write(Level.WARNING, "store_answer_too_large")
-                    following, revision = READ_ALL, None
+                    following = self._pacing.after_lost_history(self._random.random())
+                    revision = None
                 case StoreFailed(cause=cause):
                     self._report_failure(cause)
                     following = self._pacing.after_failure(self._random.random())
