Create the socket of a check where its failure is handled

Cause, seen by the review in the source: a lack of descriptors ended the check task, and with it the process. Change: the socket is created inside the try block.

--- a/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
+++ b/packages/entry/src/fuchsiaspread_entry/direct/check_task.py
@@ -42,27 +42,34 @@
 
     async def _connect(self, check: CheckTarget) -> CheckOutcome:
         started_ms = self._now_ms()
-        loop = asyncio.get_running_loop()
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
-            connection.setblocking(False)
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
-                    await loop.sock_connect(connection, check.endpoint)
-            except TimeoutError:
-                waited_ms = self._now_ms() - started_ms
-                if waited_ms > CONNECT_TIMEOUT_MS + PAUSE_MARGIN_MS:
-                    return CheckOutcome.INCONCLUSIVE
-                return CheckOutcome.TIMED_OUT
-            except ConnectionRefusedError:
-                return CheckOutcome.REFUSED
-            except OSError as error:
-                # No local route or no free file descriptor; this says nothing about the target.
-                return self._report_failure(check, error.strerror or repr(error))
-            except Exception as error:
-                # A defect in one check must not end the checks of all targets.
-                return self._report_failure(check, repr(error))
+        try:
+            await _connect_once(check)
+        except TimeoutError:
+            waited_ms = self._now_ms() - started_ms
+            if waited_ms > CONNECT_TIMEOUT_MS + PAUSE_MARGIN_MS:
+                return CheckOutcome.INCONCLUSIVE
+            return CheckOutcome.TIMED_OUT
+        except ConnectionRefusedError:
+            return CheckOutcome.REFUSED
+        except OSError as error:
+            # No local route or no free file descriptor; this says nothing about the target.
+            return self._report_failure(check, error.strerror or repr(error))
+        except Exception as error:
+            # A defect in one check must not end the checks of all targets.
+            return self._report_failure(check, repr(error))
         return CheckOutcome.CONNECTED
 
     def _report_failure(self, check: CheckTarget, cause: str) -> CheckOutcome:
         self._log.write(Level.WARNING, "check_failed", target=check.target, cause=cause)
         return CheckOutcome.INCONCLUSIVE
+
+
+async def _connect_once(check: CheckTarget) -> None:
+    """Connect to a target and close the connection.
+
+    Errors: OSError or TimeoutError when that fails.
+    """
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as connection:
+        connection.setblocking(False)
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
+            await asyncio.get_running_loop().sock_connect(connection, check.endpoint)
--- a/packages/entry/tests/direct/test_check_task.py
+++ b/packages/entry/tests/direct/test_check_task.py
@@ -1,6 +1,7 @@
 """Connection checks of targets."""
 
 import asyncio
+import socket
 import unittest
 from unittest.mock import patch
 
@@ -58,6 +59,14 @@
         self.assertEqual((line["message_type"], line["target"]), ("check_failed", TARGET))
         self.assertEqual(line["cause"], "Too many open files")
 
+    async def test_lack_of_descriptors_does_not_end_the_checks(self) -> None:
+        """Guards against a process that ends because a check could not create its socket."""
+        exhausted = OSError(24, "Too many open files")
+        with patch.object(socket, "socket", side_effect=exhausted):
+            self.assertIs(await self.outcome(Endpoint(HOST, 9)), CheckOutcome.INCONCLUSIVE)
+        self.assertFalse(self.check_task.done())
+        self.assertEqual(self.lines[0]["cause"], "Too many open files")
+
     async def test_unexpected_error_is_inconclusive_and_checks_go_on(self) -> None:
         """Guards against one check that ends the process."""
         loop = asyncio.get_running_loop()
