--- a/packages/core/src/fuchsiaspread_core/membership.py
+++ b/packages/core/src/fuchsiaspread_core/membership.py
@@ -3,11 +3,11 @@
 from dataclasses import replace
 from typing import assert_never
 
-from .configuration import Revision
 from .control import NO_REVISION, PeerRevision, Probe, ProbeAnswer, ProbeRequest
 from .effects import Notify, SendControl
 from .events import ControlReceived, MembersPublished, StopRequested, Tick
 from .identifiers import EntryName
+from .internal.announcements import Announcements, Revisions
 from .internal.gossip import Gossip
 from .internal.probe_ring import ProbeRing
 from .internal.probes import (
@@ -19,6 +19,7 @@
     RelayedProbes,
 )
 from .internal.pseudo_random import PseudoRandom
+from .internal.refutation import refute
 from .internal.roster import STATE_TRANSITIONS, MemberSignal, Roster
 from .internal.suspicions import Suspicions
 from .members import Member, MembersChanged, MemberState
@@ -67,14 +68,13 @@
         self._pending_probe: PendingProbe | None = None
         self._relayed = RelayedProbes()
         self._sequence = 0
-        self._announced: tuple[Revision, Revision] = (NO_REVISION, NO_REVISION)
+        self._announcements = Announcements(PROBE_INTERVAL_MS)
         self._live: tuple[Member, ...] = ()
         self._is_view_changed = True
         self._effects: list[MembershipEffect] = []
         self._last_tick_ms: int | None = None
         self._probe_due_ms = self._dead_probe_due_ms = 0
-        self._announce_due_ms: int | None = None
-        self._announce_allowed_ms = self._forget_due_ms = 0
+        self._forget_due_ms = 0
 
     @property
     def local_member(self) -> Member:
@@ -136,7 +136,8 @@
             for member in self._roster.forget_unlisted(now_ms):
                 self._remove_member(member.name)
         self._send_due_probes(now_ms)
-        self._announce_if_due(now_ms)
+        if self._announcements.is_due(now_ms, self._revisions):
+            self._announce(now_ms)
 
     def _resume(self, now_ms: int, gap_ms: int) -> None:
         """Discard timeouts that passed during a pause of this process; no peer was at fault."""
@@ -144,7 +145,8 @@
         self._suspicions.postpone(gap_ms)
         # Others may have declared this entry VM dead; their answers carry that and are refuted.
         # They are probed once the backlog has been read, so that the answers make the view fresh.
-        self._announce_due_ms = self._probe_due_ms = now_ms + BACKLOG_MS
+        self._probe_due_ms = now_ms + BACKLOG_MS
+        self._announcements.schedule(now_ms + BACKLOG_MS)
 
     def _send_due_probes(self, now_ms: int) -> None:
         if now_ms >= self._probe_due_ms:
@@ -267,17 +269,12 @@
 
     # Announcements
 
-    def _announce_if_due(self, now_ms: int) -> None:
-        current = (self.revision, self.newest_revision)
-        is_due = self._announce_due_ms is not None and now_ms >= self._announce_due_ms
-        is_changed = current != self._announced and now_ms >= self._announce_allowed_ms
-        if is_due or is_changed:
-            self._announce(now_ms)
+    @property
+    def _revisions(self) -> Revisions:
+        return self.revision, self.newest_revision
 
     def _announce(self, now_ms: int) -> None:
-        self._announced = (self.revision, self.newest_revision)
-        self._announce_due_ms = None
-        self._announce_allowed_ms = now_ms + PROBE_INTERVAL_MS
+        self._announcements.record(now_ms, self._revisions)
         for name in self._alive_ring.sample(ANNOUNCEMENT_PROBES, frozenset()):
             self._send_probe(name)
 
@@ -300,7 +297,9 @@
 
     def _apply_update(self, now_ms: int, update: Member) -> None:
         if update.name == self.local_member.name:
-            self._refute(update)
+            refuted = refute(self.local_member, update)
+            if refuted is not None:
+                self._replace_local_member(refuted)
             return
         if not self._roster.apply(now_ms, update):
             self._gossip.note_repeated(update)
@@ -312,16 +311,6 @@
             self._suspicions.end(update.name)
         self._sync_with_entry(now_ms, update.name)
 
-    def _refute(self, update: Member) -> None:
-        """Refute a wrong record of this entry VM by announcing a higher incarnation."""
-        local = self.local_member
-        is_other_address = (update.peer, update.control) != (local.peer, local.control)
-        is_contradicting = update.state > local.state or is_other_address
-        if update.incarnation > local.incarnation or (
-            update.incarnation == local.incarnation and is_contradicting
-        ):
-            self._replace_local_member(replace(local, incarnation=update.incarnation + 1))
-
     def _replace_local_member(self, member: Member) -> None:
         self._gossip.replace_local_member(member)
         self._is_view_changed = True
