--- a/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
+++ b/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
@@ -17,6 +17,8 @@
 PAUSE_JITTER = 0.25
 # Part of a backoff that is random, so that a fleet does not reconnect all at once.
 BACKOFF_JITTER = 0.5
+# An answer of over half the size of the largest one is a large one.
+LARGE_PARTS = 2
 
 
 def pause_for(change_bound_ms: int) -> int:
@@ -32,11 +34,11 @@
 
 
 class Content(StrEnum):
-    """What an answer to a watch holds: no changes, all there are, or perhaps a part of them."""
+    """What an answer to a watch holds: no changes, all there are, or possibly a part of them."""
 
     NOTHING = "nothing"
-    ALL = "all"
-    PERHAPS_PART = "perhaps_part"
+    COMPLETE = "complete"
+    MAYBE_PARTIAL = "maybe_partial"
 
 
 class Step(StrEnum):
@@ -51,11 +53,11 @@
 # again at once, until an answer without changes shows that the view is current.
 TRANSITIONS: dict[tuple[View, Content], tuple[View, Step]] = {
     (View.CURRENT, Content.NOTHING): (View.CURRENT, Step.WATCH),
-    (View.CURRENT, Content.ALL): (View.CURRENT, Step.PAUSE),
-    (View.CURRENT, Content.PERHAPS_PART): (View.BEHIND, Step.POLL),
+    (View.CURRENT, Content.COMPLETE): (View.CURRENT, Step.PAUSE),
+    (View.CURRENT, Content.MAYBE_PARTIAL): (View.BEHIND, Step.POLL),
     (View.BEHIND, Content.NOTHING): (View.CURRENT, Step.PAUSE),
-    (View.BEHIND, Content.ALL): (View.BEHIND, Step.POLL),
-    (View.BEHIND, Content.PERHAPS_PART): (View.BEHIND, Step.POLL),
+    (View.BEHIND, Content.COMPLETE): (View.BEHIND, Step.POLL),
+    (View.BEHIND, Content.MAYBE_PARTIAL): (View.BEHIND, Step.POLL),
 }
 
 
@@ -86,13 +88,13 @@
         size_bytes, change_bytes = sum(sizes_bytes), max(*sizes_bytes, self._change_bytes)
         if len(sizes_bytes) > self._change_count and size_bytes > self._size_bytes:
             # None of the answers before was full.
-            return Content.ALL
+            return Content.COMPLETE
         is_full = len(sizes_bytes) == self._change_count
-        # Another change might not have fitted in. Small answers count as complete: if they are not,
-        # the large one that follows shows it.
-        is_large = size_bytes * 2 > self._size_bytes
-        is_large = is_large and size_bytes + change_bytes > self._size_bytes
-        return Content.PERHAPS_PART if is_full or is_large else Content.ALL
+        # A change that did not fit in. Small answers count as complete all the same: if one is not,
+        # the large answer that follows shows it.
+        is_large = size_bytes * LARGE_PARTS > self._size_bytes
+        has_no_room = is_large and size_bytes + change_bytes > self._size_bytes
+        return Content.MAYBE_PARTIAL if is_full or has_no_room else Content.COMPLETE
 
     def add(self, change_count: int, size_bytes: int, change_bytes: int) -> None:
         """Add an answer with its number of changes, its size and the size of its largest change."""
