--- a/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
+++ b/packages/core/src/fuchsiaspread_core/direct/store_pacing.py
@@ -90,8 +90,8 @@
             # None of the answers before was full.
             return Content.COMPLETE
         is_full = len(sizes_bytes) == self._change_count
-        # A change that did not fit in. Small answers count as complete all the same: if one is not,
-        # the large answer that follows shows it.
+        # The next change may have been too large to fit. Small answers count as complete all the
+        # same: if one is not, the large answer that follows shows it.
         is_large = size_bytes * LARGE_PARTS > self._size_bytes
         has_no_room = is_large and size_bytes + change_bytes > self._size_bytes
         return Content.MAYBE_PARTIAL if is_full or has_no_room else Content.COMPLETE
